--- /dev/null
+++ b/src/coordination/agreement.h
@@ -0,0 +1,154 @@
+#pragma once
+// Raft among the registries over one small state: the newest configuration and the members of the core.
+// Pure: ballots, saves and a clock go in; letters, saves and results come out.
+//
+// Every entry carries the whole state, so the log is its last entry alone: a follower that takes the leader's entry
+// has all that came before it, and a voter compares (term, index) of last entries as usual. One entry is under way
+// at a time. Members change by one at a time, and only after an entry of the leader's own term is committed.
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "protocol/frames.h"
+#include "state/store.h"
+#include "state/types.h"
+
+namespace saddlewing {
+
+struct AgreementOptions {
+  std::string address;         // own inner address
+  Span beat{150};
+  Span election{700};          // least wait for a leader; drawn up to twice that
+  Span silent{3000};           // a voter silent for longer may be replaced by a caught-up learner
+  Span stuck{700};             // a save under way for longer: the disk is stuck
+  std::uint64_t draw = 1;      // differs by process
+};
+
+class Agreement {
+ public:
+  enum class Role { follower, prospect, candidate, leader };
+  enum class Verdict { done, failed };
+  struct Letter {
+    std::string to;
+    Ballot ballot;
+  };
+  struct Result {
+    std::uint64_t token;
+    Verdict verdict;
+    EntryCapture state;  // of a confirmed read
+  };
+  struct Save {
+    std::uint64_t serial;
+    Durable durable;
+  };
+  struct Output {
+    std::vector<Letter> letters;
+    std::vector<Result> results;
+    std::optional<Save> save;
+  };
+
+  Agreement(Durable durable, AgreementOptions options, std::vector<std::string> contacts, Moment now);
+
+  void receive(const Ballot& ballot, Moment now);
+  void tick(Moment now);
+  void finish_save(std::uint64_t serial, bool is_saved, Moment now);
+  void propose(Edition edition, std::string body, std::uint64_t token, Moment now);
+  void confirm_read(std::uint64_t token, Moment now);
+  void hand_over(Moment now);
+  void set_contacts(std::vector<std::string> contacts) { contacts_ = std::move(contacts); }
+  Output take(Moment now);
+  Moment next_due() const { return due_; }
+
+  Role role() const { return role_; }
+  bool is_leader() const { return role_ == Role::leader; }
+  Term term() const { return durable_.term; }
+  const std::string& leader_address() const { return leader_; }
+  MemberId self() const { return durable_.self; }
+  // Null until this life knows something committed.
+  const EntryCapture& committed() const { return committed_; }
+  // A quorum stands behind what this node holds committed.
+  bool is_confirmed(Moment now) const;
+  std::vector<std::string> known_addresses() const;
+
+ private:
+  struct Peer {
+    std::string address;
+    Moment heard{}, sent_at{};
+    bool is_matched = false;      // holds the leader's last entry
+    std::uint64_t sent_serial = 0;  // entry serial sent at sent_at
+    std::uint64_t round = 0;
+  };
+  struct Waiting {
+    Edition edition;
+    std::string body;
+    std::uint64_t token;
+  };
+  struct Read {
+    std::uint64_t token, round;
+  };
+
+  Ballot make(Ballot::Type type) const;
+  void send(const std::string& to, Ballot ballot, bool is_durable);
+  bool is_member(MemberId id) const;
+  std::size_t majority() const { return durable_.entry->members.size() / 2 + 1; }
+  bool is_newer_or_same(const Ballot& ballot) const;
+  std::size_t heard_since(Moment since) const;
+
+  void change_term(Term term, MemberId vote);
+  void follow(Term term, Moment now);
+  void set_election(Moment now);
+  void start_prospect(Moment now);
+  void start_candidate(bool is_handed_over, Moment now);
+  void start_leader(Moment now);
+  void count_votes(Moment now);
+  void set_entry(EntryCapture entry);
+  void start_entry(std::vector<Member> members, Moment now);
+  void start_waiting(Moment now);
+  void check_commit(Moment now);
+  void check_reads();
+  void tend_members(Moment now);
+  void broadcast(Moment now, bool is_beat);
+  void send_append(Peer& peer, Moment now, bool is_beat);
+  void take_append(const Ballot& ballot, Moment now);
+  void take_appended(const Ballot& ballot, Moment now);
+  void take_vote(const Ballot& ballot, Moment now);
+  void take_pre_vote(const Ballot& ballot, Moment now);
+  void take_join(const Ballot& ballot, Moment now);
+  void ask_to_join(Moment now);
+  void fail_all();
+
+  // Invariant: `serial_` counts changes of durable_; letters that promise one wait until `saved_` reached it.
+  Durable durable_;
+  std::uint64_t serial_ = 0, saved_ = 0, entry_serial_ = 0, saving_ = 0;
+  std::optional<Moment> save_started_;
+  Moment save_retry_{};
+  AgreementOptions options_;
+  std::vector<std::string> contacts_;
+  std::mt19937_64 draw_;
+
+  Role role_ = Role::follower;
+  MemberId leader_id_;
+  std::string leader_;
+  Moment heard_leader_{}, due_{}, election_{}, beat_due_{};
+  bool is_stranger_ = false;
+  std::map<MemberId, bool> votes_;
+  std::map<MemberId, Peer> peers_;     // of a leader: members but itself, and learners
+  std::map<MemberId, Moment> learners_;  // when they last asked or answered
+  EntryCapture committed_;
+  bool is_under_way_ = false;          // of a leader: its last entry is not committed yet
+  std::vector<std::uint64_t> attached_;  // tokens answered by the entry under way
+  std::vector<Waiting> waiting_;
+  std::vector<Read> reads_;
+  std::uint64_t round_ = 0;
+
+  struct Held {
+    std::uint64_t need;
+    Letter letter;
+  };
+  std::vector<Held> held_;
+  std::vector<Result> results_;
+};
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/coordination/backend.cpp
@@ -0,0 +1,58 @@
+#include "coordination/backend.h"
+
+#include <algorithm>
+
+namespace saddlewing {
+namespace {
+
+constexpr double guess_ms = 20;                        // of a backend not heard yet
+constexpr double locality_ms = 3, region_ms = 12;      // what bytes across them are taken to cost, beyond their time
+constexpr double load_fades_ms = 300;
+
+}  // namespace
+
+double Picker::cost(const Backend& backend, Moment now) const {
+  const double mean = backend.mean_ms > 0 ? backend.mean_ms : guess_ms;
+  const double age = std::chrono::duration<double, std::milli>(now - backend.load_seen).count();
+  const double foreign = age < load_fades_ms ? backend.foreign_load * (1 - age / load_fades_ms) : 0;
+  const double waiting = std::max(0.0, backend.asked + foreign + 1 - backend.capacity);
+  double cost = mean * (1 + waiting / backend.capacity + 0.3 * (backend.asked + foreign) / backend.capacity);
+  if (now < backend.warm_until) cost *= 1.5;
+  if (backend.region != place_.region) cost += region_ms;
+  else if (backend.locality != place_.locality) cost += locality_ms;
+  return cost;
+}
+
+PickResult Picker::pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried,
+                        int most_connections, Moment now) {
+  PickResult result;
+  Backend *best = nullptr, *least_broken = nullptr;
+  double best_cost = 0;
+  int best_class = 0;
+  for (const BackendPointer& pointer : backends) {
+    Backend& backend = *pointer;
+    if (backend.is_cancelled || (backend.status != Status::up && backend.status != Status::starting)) continue;
+    if (std::find(tried.begin(), tried.end(), &backend) != tried.end()) continue;
+    if (backend.asked >= most_connections) {
+      result.is_full = true;
+      continue;
+    }
+    if (backend.breaker.is_open(now)) {
+      if (!least_broken || backend.breaker.until() < least_broken->breaker.until()) least_broken = &backend;
+      continue;
+    }
+    const int rank = backend.status == Status::up ? 1 : 0;
+    const double cost = this->cost(backend, now) * (1 + static_cast<double>(draw_() % 64) / 1024);
+    if (!best || rank > best_class || (rank == best_class && cost < best_cost)) {
+      best = &backend;
+      best_cost = cost;
+      best_class = rank;
+    }
+  }
+  // Breakers alone never empty a shard.
+  result.backend = best ? best : least_broken;
+  if (result.backend && result.backend->breaker.is_on_trial(now)) result.backend->breaker.start_trial(now);
+  return result;
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/coordination/backend.h
@@ -0,0 +1,87 @@
+#pragma once
+// A broker's view of the backends, and the pick among them.
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "protocol/frames.h"
+#include "state/configuration.h"
+#include "state/startup.h"
+#include "state/types.h"
+
+namespace saddlewing {
+
+// Opens after repeated breakdowns, lets one trial through when its pause is over.
+class Breaker {
+ public:
+  void succeed() { breakdowns_ = 0, pause_ = first_pause, is_open_ = false; }
+  void fail(Moment now, bool is_plain) {  // plain: nothing was heard at all, as of a dead host
+    breakdowns_ += is_plain ? most_breakdowns : 1;
+    if (breakdowns_ < most_breakdowns) return;
+    if (is_open_ && now < until_) return;
+    pause_ = is_open_ ? std::min(pause_ * 2, longest_pause) : first_pause;
+    is_open_ = true;
+    until_ = now + pause_;
+  }
+  bool is_open(Moment now) const { return is_open_ && now < until_; }
+  bool is_on_trial(Moment now) const { return is_open_ && now >= until_; }
+  void start_trial(Moment now) { until_ = now + pause_; }  // the others wait for its end
+  Moment until() const { return until_; }
+
+ private:
+  static constexpr int most_breakdowns = 3;
+  static constexpr Span first_pause{400}, longest_pause{3000};
+  int breakdowns_ = 0;
+  Span pause_ = first_pause;
+  bool is_open_ = false;
+  Moment until_{};
+};
+
+struct Backend {
+  std::string id, service, locality, region;
+  Address address;
+  int capacity = 1;
+  Status status = Status::starting;
+  Moment warm_until{};
+  bool is_cancelled = false;  // emptying or gone: nothing more is sent, whatever capture an errand began with
+
+  int asked = 0;              // own requests at work there
+  int connections = 0;
+  double foreign_load = 0;    // requests of others there, as last told
+  Moment load_seen{};
+  double mean_ms = 0;         // of its outcomes; 0: none yet
+  Breaker breaker;
+  void see_outcome(double milliseconds) { mean_ms = mean_ms == 0 ? milliseconds : mean_ms * 0.9 + milliseconds * 0.1; }
+};
+using BackendPointer = std::shared_ptr<Backend>;
+
+// The table of one moment: a configuration and who serves it. Immutable, swapped whole.
+struct Table {
+  ConfigurationCapture configuration;
+  std::vector<std::vector<BackendPointer>> by_service;  // by ServiceIndex
+};
+using TableCapture = std::shared_ptr<const Table>;
+
+struct PickPlace {
+  std::string locality, region;
+};
+
+struct PickResult {
+  Backend* backend = nullptr;
+  bool is_full = false;  // somebody could serve, but every connection allowed is in use
+};
+
+// The least expected time among UP backends; STARTING ones only where none is UP.
+class Picker {
+ public:
+  Picker(PickPlace place, std::uint64_t draw) : place_(std::move(place)), draw_(draw) {}
+  PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int most_connections, Moment now);
+
+ private:
+  double cost(const Backend& backend, Moment now) const;
+  PickPlace place_;
+  std::minstd_rand draw_;
+};
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/coordination/errand.cpp
@@ -0,0 +1,221 @@
+#include "coordination/errand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace saddlewing {
+namespace {
+
+constexpr Span way_back{15};      // kept for the answer's way to the client
+constexpr Span hold_step{5};      // while every connection allowed is in use
+constexpr int most_missed = 4;    // askings that reached nobody, per part
+
+}  // namespace
+
+Errand::Errand(Ground& ground, TableCapture table, const Rule& rule, Moment began, Span time_left)
+    : ground_(ground), table_(std::move(table)), rule_(rule), began_(began),
+      cutoff_(began + std::max(Span(1), std::min(time_left, rule.give_up) - way_back)),
+      prompt_(std::min(began + std::max(rule.target * 9 / 10 - way_back, rule.target / 2), cutoff_ - 1ms)), due_(cutoff_),
+      best_(static_cast<std::size_t>(std::max(1, rule.best_count))) {}
+
+void Errand::start(Moment now) {
+  if (is_gathering()) {
+    for (const ServiceIndex shard : rule_.shards) parts_.push_back({shard, {}, 0, 0, 0, false, false, {}, {}});
+  } else {
+    double left = ground_.draw() * rule_.weight_sum;
+    ServiceIndex chosen = rule_.shares.back().service;
+    for (const Share& share : rule_.shares) {
+      if (share.weight > 0) chosen = share.service;
+      if ((left -= share.weight) < 0) break;
+    }
+    parts_.push_back({chosen, {}, 0, 0, 0, false, false, {}, {}});
+  }
+  for (const Part& part : parts_) ground_.budget(table_->configuration->services[part.service.value].name).count_request(now);
+  // A shard without any backend decides the outcome before anything runs.
+  std::size_t empty = 0;
+  for (const Part& part : parts_) {
+    const auto& backends = table_->by_service[part.service.value];
+    empty += std::none_of(backends.begin(), backends.end(), [](const BackendPointer& backend) {
+      return !backend->is_cancelled && (backend->status == Status::up || backend->status == Status::starting);
+    });
+  }
+  const double share = 1 - static_cast<double>(empty) / static_cast<double>(parts_.size());
+  if (empty == parts_.size() || (is_gathering() && share < rule_.fewest_parts)) {
+    worst_ = Kind::nobody_up;
+    return finish_failed(now);
+  }
+  state_ = State::asking;
+  for (std::size_t index = 0; index < parts_.size() && is_open(); ++index) ask(index, false, now);
+  if (is_open()) consider(now);
+}
+
+bool Errand::may_ask_again(const Part& part) const {
+  return !part.is_done && !part.is_failed && part.sent < rule_.tries && part.missed < most_missed;
+}
+
+void Errand::ask(std::size_t index, bool is_further, Moment now) {
+  Part& part = parts_[index];
+  const auto& service = table_->configuration->services[part.service.value];
+  const bool is_extra = part.sent > 0;
+  if (is_extra && !ground_.budget(service.name).allows_extra(now, ground_.reserve(now))) {
+    if (!part.active) fail_part(part, worst_ == Kind::none ? Kind::turned_away : worst_, now);
+    return;
+  }
+  const auto& backends = table_->by_service[part.service.value];
+  PickResult picked = ground_.pick(backends, part.tried, service.most_connections, now);
+  if (!picked.backend && !picked.is_full && !is_further && !part.tried.empty() && !part.active)
+    picked = ground_.pick(backends, {}, service.most_connections, now);  // nobody else is left: the same once more
+  if (!picked.backend) {
+    if (is_further || part.active) return;
+    if (!picked.is_full) return fail_part(part, Kind::nobody_up, now);
+    if (!is_gathering() && now - began_ > rule_.target / 4) return fail_part(part, Kind::overloaded, now);
+    part.asked = {};
+    state_ = State::holding;
+    return;
+  }
+  part.tried.push_back(picked.backend);
+  if (!ground_.ask(*this, index, *picked.backend, now)) {
+    ++part.missed;
+    if (!is_further && may_ask_again(part)) ask(index, false, now);
+    else if (!part.active) fail_part(part, Kind::refused_connection, now);
+    return;
+  }
+  if (is_extra) ground_.budget(service.name).count_extra(now);
+  ++part.sent;
+  ++part.active;
+  part.asked = now;
+}
+
+void Errand::fail_part(Part& part, Kind kind, Moment) {
+  if (part.is_failed || part.is_done) return;
+  part.is_failed = true;
+  ++failed_;
+  if (worst_ == Kind::none || status_of(worst_).status == 503) worst_ = kind;
+}
+
+void Errand::take_outcome(std::size_t index, BackendOutcome outcome, Span took, Moment now) {
+  if (!is_open()) return;
+  Part& part = parts_[index];
+  --part.active;
+  if (part.is_done || part.is_failed) return;
+  const bool is_success = outcome.status >= 200 && outcome.status < 300 && !outcome.is_not_run;
+  if (!outcome.is_not_run) has_run_ = true;
+  if (is_success) {
+    ground_.pace(rule_).see(static_cast<double>(took.count()));
+    part.is_done = true;
+    ++done_;
+    if (!is_gathering()) return finish({Kind::none, outcome.status, std::move(outcome.reason), std::move(outcome.fields), std::move(outcome.body), Span(0)}, now);
+    part.seal = std::move(outcome.seal);
+    best_.add(outcome.body);
+    return consider(now);
+  }
+  if (!is_gathering() && !outcome.is_not_run) {
+    // A client's own mistake (4xx) is the same everywhere; only a backend's failure is worth another.
+    if (outcome.status < 500 || !rule_.is_harmless)
+      return finish({Kind::none, outcome.status, std::move(outcome.reason), std::move(outcome.fields), std::move(outcome.body), Span(0)}, now);
+    last_ = std::make_unique<BackendOutcome>(std::move(outcome));
+  }
+  if (!part.active) {
+    if (may_ask_again(part)) ask(index, false, now);
+    else fail_part(part, outcome.is_not_run ? Kind::turned_away : Kind::garbled, now);
+  }
+  if (is_open()) consider(now);
+}
+
+void Errand::take_breakdown(std::size_t index, Kind kind, bool may_have_run, Moment now) {
+  if (!is_open()) return;
+  Part& part = parts_[index];
+  --part.active;
+  if (may_have_run) has_run_ = true;
+  else --part.sent, ++part.missed;
+  if (part.is_done || part.is_failed) return;
+  if (may_have_run && !rule_.is_harmless) fail_part(part, kind, now);
+  else if (!part.active) {
+    if (may_ask_again(part)) ask(index, false, now);
+    else fail_part(part, kind, now);
+  }
+  if (is_open()) consider(now);
+}
+
+// After how long without an outcome a second backend is asked.
+Span Errand::further_delay() const {
+  const Pace& pace = ground_.pace(rule_);
+  if (pace.mean_ms == 0) return std::max(rule_.target / 2, Span(20));
+  const Span usual(static_cast<std::int64_t>(std::ceil(pace.mean_ms + 4 * pace.deviation_ms)));
+  return std::clamp(usual, Span(20), std::max(rule_.target / 2, Span(20)));
+}
+
+void Errand::on_due(Moment now) {
+  if (!is_open()) return;
+  if (now >= cutoff_) {
+    if (worst_ == Kind::none || status_of(worst_).status == 503) worst_ = has_run_ || done_ || state_ != State::holding ? Kind::cutoff_reached : Kind::overloaded;
+    if (is_gathering() && static_cast<double>(done_) >= rule_.fewest_parts * static_cast<double>(parts_.size()) && done_) return finish_gathered(now);
+    return finish_failed(now);
+  }
+  if (state_ == State::holding) state_ = State::asking;
+  const Span delay = further_delay();
+  for (std::size_t index = 0; index < parts_.size() && is_open(); ++index) {
+    Part& part = parts_[index];
+    if (part.is_done || part.is_failed) continue;
+    if (!part.active) ask(index, false, now);
+    else if (rule_.is_harmless && part.active == 1 && now - part.asked >= delay && may_ask_again(part)) ask(index, true, now);
+  }
+  if (is_open()) consider(now);
+}
+
+// Decides whether the outcome is there, can still come, or is lost.
+void Errand::consider(Moment now) {
+  if (state_ == State::asking) state_ = State::gathering;
+  const std::size_t total = parts_.size();
+  if (done_ == total) return finish_gathered(now);
+  const auto is_enough = [&](std::size_t count) {
+    return count > 0 && static_cast<double>(count) >= rule_.fewest_parts * static_cast<double>(total) - 1e-9;
+  };
+  if (!is_gathering()) {
+    if (failed_) return finish_failed(now);
+  } else {
+    if (!is_enough(total - failed_)) return finish_failed(now);
+    if (done_ + failed_ == total || (now >= prompt_ && is_enough(done_))) return finish_gathered(now);
+  }
+  plan(now);
+}
+
+void Errand::plan(Moment now) {
+  due_ = cutoff_;
+  if (is_gathering() && now < prompt_) due_ = prompt_;
+  const Span delay = further_delay();
+  for (const Part& part : parts_) {
+    if (part.is_done || part.is_failed) continue;
+    if (!part.active) due_ = std::min(due_, now + hold_step);
+    else if (rule_.is_harmless && part.active == 1 && may_ask_again(part) && part.asked + delay > now) due_ = std::min(due_, part.asked + delay);
+  }
+}
+
+void Errand::finish_gathered(Moment now) {
+  std::string seals;
+  for (const Part& part : parts_)
+    if (part.is_done) (seals += seals.empty() ? "" : ", ") += part.seal;
+  FinalAnswer answer;
+  answer.fields = "Part-Seals: " + seals + "\r\nParts-Missing: " + std::to_string(parts_.size() - done_) + "\r\n";
+  answer.body = best_.take();
+  finish(std::move(answer), now);
+}
+
+void Errand::finish_failed(Moment now) {
+  if (last_) return finish({Kind::none, last_->status, std::move(last_->reason), std::move(last_->fields), std::move(last_->body), Span(0)}, now);
+  FinalAnswer answer;
+  answer.kind = worst_;
+  // 503 promises that nothing ran and nothing will: an asking still at work forbids it.
+  const bool is_at_work = std::any_of(parts_.begin(), parts_.end(), [](const Part& part) { return part.active > 0; });
+  if (status_of(worst_).status == 503 && (has_run_ || is_at_work || done_)) answer.kind = is_at_work ? Kind::cutoff_reached : Kind::broke_off;
+  if (status_of(answer.kind).status == 503) answer.retry_after = Span(300);
+  finish(std::move(answer), now);
+}
+
+void Errand::finish(FinalAnswer answer, Moment now) {
+  state_ = State::answering;
+  ground_.answer(*this, std::move(answer), now);
+  state_ = State::closed;
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/coordination/registry.h
@@ -0,0 +1,86 @@
+#pragma once
+// The registry of backends, after Eureka: holds with a sweep, eviction that pauses under the renewal threshold,
+// cancel at once on drain, replication peer to peer, deltas for callers. Pure: observations and a clock in.
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/frames.h"
+#include "state/types.h"
+
+namespace saddlewing {
+
+struct RegistryOptions {
+  Span renewal{2000}, hold{6000}, sweep{1000};
+  double renewal_threshold = 0.85;
+  bool is_preserving = true;
+  Span tombstone{60000};  // how long a backend that is gone is remembered, so that nothing late revives it
+};
+
+struct ProbeTarget {
+  std::string id, address, service;
+};
+
+// What a broker keeps of the registries: the same lattice, without holds of its own.
+class RosterBook {
+ public:
+  struct Line {
+    RosterEntry entry;
+    Moment warm_until{}, hold_until{}, gone_at{};
+    std::uint64_t mark = 0;  // of the book when the line last changed
+  };
+  // Merges one entry: phases only rise, the greater stamp decides status and hold. True if something changed.
+  bool merge(const RosterEntry& entry, Moment now);
+  void forget_gone(Moment now, Span tombstone);
+  const std::map<std::string, Line>& lines() const { return lines_; }
+  std::uint64_t mark() const { return mark_; }
+
+ protected:
+  RosterEntry travelling(const Line& line, Moment now) const;
+  void touch(Line& line) { line.mark = ++mark_; }
+  std::map<std::string, Line> lines_;
+  std::uint64_t mark_ = 0;
+};
+
+class Registry : public RosterBook {
+ public:
+  explicit Registry(RegistryOptions options) : options_(options) {}
+
+  // A complete listing of the platform. What it lacks twice running is gone; an incomplete one never comes here.
+  void observe(const std::vector<RosterEntry>& listed, Moment now);
+  // A probe's reply is a renewal: the first one makes a starting backend UP.
+  void renew(const std::string& id, Moment now);
+  void sweep(Moment now);
+  // Services whose backends are probed.
+  void name_services(std::set<std::string> services) { named_ = std::move(services); }
+  std::vector<ProbeTarget> targets() const;
+  Roster since(std::uint64_t mark, Moment now) const;
+  void take(const Roster& roster, Moment now);
+
+  void set_stamp_base(std::uint64_t base) { stamp_ = std::max(stamp_, base); }
+  bool is_filled() const { return is_filled_; }
+  bool is_evicting() const { return is_evicting_; }
+  std::size_t evicted() const { return evicted_; }
+
+ private:
+  void set_status(Line& line, Status status) {
+    line.entry.status = status;
+    line.entry.stamp = ++stamp_;
+    touch(line);
+  }
+
+  RegistryOptions options_;
+  std::set<std::string> named_;
+  std::unordered_map<std::string, int> misses_;  // consecutive listings that lacked a backend
+  std::uint64_t stamp_ = 0;
+  bool is_filled_ = false, is_evicting_ = true;
+  std::size_t evicted_ = 0;
+  Moment last_sweep_{};
+  // Renewals of the running and of the last period, against what the holds lead to expect.
+  Moment period_start_{};
+  std::set<std::string> renewed_, renewed_before_;
+};
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/programs/broker_program.cpp
@@ -0,0 +1,50 @@
+// saddlewing broker
+#include <glog/logging.h>
+
+#include <random>
+
+#include "programs/programs.h"
+#include "programs/signals.h"
+#include "programs/traffic.h"
+
+namespace saddlewing {
+
+int run_broker(const std::string& startup_path) {
+  Startup startup;
+  if (Fault found = read_startup(startup_path, false, startup)) {
+    LOG(ERROR) << "startup: " << found.text();
+    return 1;
+  }
+  Signals signals;
+  signals.should_reload(startup_path);
+  std::random_device device;
+  const LifeId life{(static_cast<std::uint64_t>(device()) << 32) | device() | 1u};
+  Traffic traffic(startup, life);
+  Follower follower(startup, life, [&traffic](ViewCapture view) { traffic.show(std::move(view)); });
+  for (const Fault& found : {follower.open(), traffic.open()})
+    if (found) {
+      LOG(ERROR) << "startup: " << found.text();
+      return 1;
+    }
+  follower.start();
+  traffic.start();
+  LOG(INFO) << "broker: started as " << startup.node_name;
+  while (!signals.should_stop()) {
+    signals.wait(1000);
+    if (!signals.should_reload(startup_path)) continue;
+    Startup changed;
+    if (Fault found = read_startup(startup_path, false, changed)) {
+      LOG(ERROR) << "startup: kept as it was: " << found.text();
+      continue;
+    }
+    LOG(INFO) << "startup: read again";
+    follower.set_contacts(changed.contacts);
+  }
+  traffic.leave();
+  traffic.join();
+  follower.stop();
+  LOG(INFO) << "broker: ended";
+  return 0;
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/programs/check_program.cpp
@@ -0,0 +1,45 @@
+// saddlewing check FILE: a startup or a configuration, told apart by their fields.
+#include <json/json.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "programs/programs.h"
+#include "state/configuration.h"
+#include "state/startup.h"
+
+namespace saddlewing {
+
+int run_check(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << path << ": cannot be read\n";
+    return 1;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  Json::Value root;
+  std::string reason;
+  if (!read_json(text.str(), root, reason) || !root.isObject()) {
+    std::cerr << path << ": not a JSON object\n" << reason;
+    return 1;
+  }
+  Fault found;
+  const bool is_startup = root.isMember("node_name");
+  if (is_startup) {
+    Startup startup;
+    found = check_startup(text.str(), root.isMember("data_folder"), startup);
+  } else {
+    ConfigurationCapture capture;
+    found = read_configuration(text.str(), capture);
+  }
+  if (found) {
+    std::cerr << path << ": " << found.text() << "\n";
+    return 1;
+  }
+  std::cout << path << ": a proper " << (is_startup ? "startup" : "configuration") << "\n";
+  return 0;
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/programs/core.h
@@ -0,0 +1,110 @@
+#pragma once
+// The agree thread of a registry: agreement, the registry of backends, and the brokers that follow.
+#include <atomic>
+#include <deque>
+#include <map>
+#include <thread>
+
+#include "coordination/agreement.h"
+#include "coordination/registry.h"
+#include "programs/desk.h"
+#include "programs/lookout.h"
+#include "programs/rings.h"
+#include "programs/vault.h"
+#include "state/configuration.h"
+#include "state/startup.h"
+#include "transport/link.h"
+
+namespace saddlewing {
+
+class Core {
+ public:
+  Core(const Startup& startup, Durable durable, LifeId life);
+  Fault open();
+  void start(Desk& desk, Lookout& lookout, Vault& vault);
+  void leave() {  // hands the lead over and ends
+    should_leave_ = true;
+    events_.push(Renewed{});
+  }
+  bool has_left() const { return has_left_; }
+  void join() {
+    if (thread_.joinable()) thread_.join();
+  }
+  void set_contacts(const std::vector<Address>& contacts);
+  Ring<CoreEvent>& events() { return events_; }
+
+ private:
+  struct PendingCall {
+    OperatorCall call;
+    std::string origin;           // inner address of the registry that passed it on; empty: the own desk
+    std::uint64_t origin_token = 0;
+    std::string sent_to;          // the leader that has it; empty: nobody yet
+    Moment cutoff;
+  };
+  struct Broker {
+    std::string route, from;
+    Edition held;
+    std::uint64_t sent_mark = 0;
+    Moment heard;
+  };
+  struct Peer {
+    LifeId life;
+    std::uint64_t sent_mark = 0;
+    Moment whole_due{}, observed{}, sent{};
+  };
+
+  void run();
+  void take_event(CoreEvent& event, Moment now);
+  void take_parcel(const Parcel& parcel, bool is_from_hub, Moment now);
+  void take_follow(const std::string& route, const FrameHead& head, const Follow& follow, Moment now);
+  void take_roster(const FrameHead& head, const Roster& roster, Moment now);
+  void take_trace(const std::string& route, Moment now);
+  void add_call(OperatorCall call, std::string origin, std::uint64_t origin_token, Moment now);
+  void route_calls(Moment now);
+  void finish_call(std::uint64_t token, bool is_done, const std::string& body);
+  void handle_output(Moment now);
+  void note_commit(Moment now);
+  void tend_registry(Moment now);
+  void tend_brokers(Moment now);
+  void send_beat(const std::string& route, Moment now);
+  void send_to(const std::string& address, const std::string& bytes);
+  void reach(const std::string& address);
+  void note(Edition edition, const char* what, Moment now);
+  FrameHead head() const { return {FrameKind::ballot, life_, address_}; }
+
+  const Startup startup_;
+  const LifeId life_;
+  const std::string address_;
+  LinkContext context_;
+  Hub hub_;
+  std::map<std::string, std::unique_ptr<Spoke>> spokes_;
+  Waker waker_;
+  Ring<CoreEvent> events_;
+  Ring<std::vector<std::string>> contacts_;
+  Agreement agreement_;
+  Registry registry_;
+  Desk* desk_ = nullptr;
+  Lookout* lookout_ = nullptr;
+  Vault* vault_ = nullptr;
+
+  std::map<std::uint64_t, PendingCall> calls_;
+  std::uint64_t last_call_ = 0;
+  std::map<std::string, Broker> brokers_;  // by inner address
+  std::map<std::string, Peer> peers_;      // by inner address
+  EntryCapture noted_;                     // the committed entry that was made known
+  ConfigurationCapture configuration_;
+  bool is_observing_ = false, was_leader_ = false;
+  std::uint64_t ordered_mark_ = ~0ull;
+  Moment registry_due_{}, foreign_logged_{};
+  std::uint64_t foreign_ = 0;
+  struct Stamped {
+    Edition edition;
+    const char* what;
+    Moment when;
+  };
+  std::deque<Stamped> steps_;
+  std::atomic<bool> should_leave_ = false, has_left_ = false;
+  std::thread thread_;
+};
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/programs/core_registry.cpp
@@ -0,0 +1,127 @@
+// The agree thread's care for the registry of backends and for the brokers.
+#include <glog/logging.h>
+
+#include <algorithm>
+
+#include "programs/core.h"
+
+namespace saddlewing {
+namespace {
+
+constexpr Span whole_every{5000};  // anti-entropy between registries
+constexpr Span broker_silence{3000};
+
+}  // namespace
+
+void Core::take_roster(const FrameHead& from, const Roster& roster, Moment now) {
+  if (from.from.empty()) return;
+  Peer& peer = peers_[from.from];
+  if (peer.life != from.life) {  // a new life there: it is to get everything
+    peer = {};
+    peer.life = from.life;
+  }
+  if (roster.is_observed) peer.observed = now;
+  registry_.take(roster, now);
+}
+
+// The leader observes the platform and the backends; others do so only while nobody is heard to.
+void Core::tend_registry(Moment now) {
+  if (now < registry_due_) return;
+  registry_due_ = now + Span(100);
+  std::erase_if(peers_, [&](const auto& peer) { return !spokes_.contains(peer.first); });
+  const bool is_seen_elsewhere = std::any_of(peers_.begin(), peers_.end(), [&](const auto& peer) {
+    return peer.second.observed != Moment{} && now - peer.second.observed < startup_.listing * 3;
+  });
+  const bool should_observe = agreement_.is_leader() || !is_seen_elsewhere;
+  if (should_observe && !is_observing_) {
+    registry_.set_stamp_base(agreement_.term().value << 32);
+    LOG(INFO) << "registry: observes the platform";
+  }
+  const bool has_turned = should_observe != is_observing_;
+  is_observing_ = should_observe;
+  if (is_observing_) {
+    const bool was_evicting = registry_.is_evicting();
+    registry_.sweep(now);
+    if (was_evicting != registry_.is_evicting())
+      LOG(WARNING) << "registry: " << (registry_.is_evicting() ? "evicts again" : "preserves itself, too few renewals");
+  } else {
+    registry_.forget_gone(now, Span(60000));
+  }
+  if (has_turned || ordered_mark_ != registry_.mark()) {
+    ordered_mark_ = registry_.mark();
+    auto order = std::make_shared<WatchOrder>();
+    order->is_observing = is_observing_;
+    if (configuration_) {
+      std::map<std::string, std::string> paths;
+      for (const Service& service : configuration_->services) paths[service.name] = service.health_path;
+      for (const ProbeTarget& target : registry_.targets())
+        if (const auto found = paths.find(target.service); found != paths.end())
+          order->targets.push_back({target.id, target.address, found->second});
+    }
+    lookout_->order(std::move(order));
+  }
+  for (const std::string& address : agreement_.known_addresses()) {
+    Peer& peer = peers_[address];
+    const bool is_whole = now >= peer.whole_due;
+    const bool has_news = registry_.mark() > peer.sent_mark;
+    const bool is_sign_due = is_observing_ && now - peer.sent >= startup_.listing;
+    if (!is_whole && !has_news && !is_sign_due) continue;
+    peer.sent = now;
+    Roster roster = registry_.since(is_whole ? 0 : peer.sent_mark, now);
+    roster.is_observed = is_observing_;
+    peer.sent_mark = registry_.mark();
+    if (is_whole) peer.whole_due = now + whole_every;
+    send_to(address, encode(head(), roster));
+  }
+}
+
+void Core::send_beat(const std::string& route, Moment now) {
+  Beat beat;
+  if (agreement_.committed()) beat.edition = agreement_.committed()->edition;
+  beat.is_confirmed = agreement_.is_confirmed(now);
+  beat.is_filled = registry_.is_filled();
+  beat.brokers = brokers_.size();
+  beat.registries = agreement_.known_addresses();
+  beat.registries.push_back(address_);
+  hub_.send(route, encode(head(), beat));
+}
+
+void Core::take_follow(const std::string& route, const FrameHead& from, const Follow& follow, Moment now) {
+  Broker& broker = brokers_[from.from];
+  if (broker.held < follow.edition) LOG(INFO) << "registry: broker " << from.from << " holds edition " << follow.edition.value;
+  broker.route = route;
+  broker.from = from.from;
+  broker.held = follow.edition;
+  broker.heard = now;
+  broker.sent_mark = follow.roster_life == life_.value ? follow.roster_mark : 0;
+  send_beat(route, now);
+  const EntryCapture& committed = agreement_.committed();
+  if (follow.wants_body && committed && committed->edition > follow.edition)
+    hub_.send(route, encode(head(), Body{committed->edition, committed->body}));
+  if (broker.sent_mark == 0 && registry_.mark() == 0) hub_.send(route, encode(head(), registry_.since(0, now)));
+}
+
+// Changes go out at once; whoever missed some says so with its next follow.
+void Core::tend_brokers(Moment now) {
+  std::erase_if(brokers_, [&](const auto& broker) { return now - broker.second.heard > broker_silence; });
+  for (auto& [from, broker] : brokers_) {
+    if (broker.sent_mark >= registry_.mark()) continue;
+    if (hub_.send(broker.route, encode(head(), registry_.since(broker.sent_mark, now)))) broker.sent_mark = registry_.mark();
+  }
+}
+
+void Core::take_trace(const std::string& route, Moment now) {
+  Traced traced;
+  traced.node = startup_.node_name;
+  traced.role = "registry";
+  if (agreement_.committed()) traced.held = agreement_.committed()->edition;
+  traced.is_leader = agreement_.is_leader();
+  for (const Stamped& step : steps_)
+    traced.steps.push_back({step.edition, step.what, static_cast<std::uint64_t>(span_between(step.when, now).count())});
+  traced.registries = agreement_.known_addresses();
+  traced.registries.push_back(address_);
+  for (const auto& [from, broker] : brokers_) traced.brokers.push_back(from);
+  hub_.send(route, encode(head(), traced));
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/programs/desk.cpp
@@ -0,0 +1,110 @@
+#include "programs/desk.h"
+
+#include <glog/logging.h>
+#include <json/json.h>
+
+#include "protocol/calls.h"
+#include "state/configuration.h"
+
+namespace saddlewing {
+namespace {
+
+constexpr Span most_wait{900};  // callers turn to another node after a second of silence
+constexpr std::size_t most_document = 1 << 20;
+
+Reply json_reply(Kind kind, const std::string& reason) {
+  Json::Value value(Json::objectValue);
+  value["error"] = make_error_code(kind).message();
+  value["reason"] = reason;
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  const StatusLine line = status_of(kind);
+  Reply reply{line.status, line.reason, "Content-Type: application/json\r\n", Json::writeString(builder, value) + "\n", false};
+  if (kind == Kind::wrong_method) reply.fields += "Allow: GET, PUT\r\n";
+  if (line.status == 503) reply.fields += "Retry-After: 0.5\r\n";
+  return reply;
+}
+
+}  // namespace
+
+Desk::Desk(const Startup& startup, Ring<CoreEvent>& events)
+    : address_(startup.control), events_(events), server_(poller_, schedule_, *this, 256),
+      outcomes_(1024, [this] { poller_.wake(); }) {
+  server_.set_limits({32768, most_document, Span(5000), Span(15000)});
+}
+
+Fault Desk::open() { return server_.open(address_); }
+void Desk::start() { thread_ = std::thread([this] { run(); }); }
+
+void Desk::stop() {
+  should_stop_ = true;
+  poller_.wake();
+  if (thread_.joinable()) thread_.join();
+}
+
+void Desk::run() {
+  while (!should_stop_) {
+    poller_.poll(schedule_.until_next(Clock::now(), Span(1000)));
+    const Moment now = Clock::now();
+    for (OperatorOutcome& outcome : outcomes_.take()) {
+      const auto found = open_.find(outcome.token);
+      if (found == open_.end()) continue;
+      const bool is_read = found->second.is_read;
+      if (!outcome.is_done) {
+        finish(outcome.token, json_reply(Kind::no_leader, "no majority of the core answered in time"), now);
+      } else if (is_read && outcome.body.empty()) {
+        finish(outcome.token, json_reply(Kind::no_rule, "no configuration was taken yet"), now);
+      } else {
+        Reply reply{200, "OK", "Content-Type: application/json\r\n", is_read ? std::move(outcome.body) : "{}\n", false};
+        finish(outcome.token, std::move(reply), now);
+      }
+    }
+    schedule_.run(now);
+    server_.reap();
+  }
+}
+
+void Desk::on_request(Visit& visit, Moment now) {
+  const auto& request = visit.request();
+  const std::string& target = request.getURI();
+  if (target.substr(0, target.find('?')) != row_of(Call::put_settings).path)
+    return visit.answer(json_reply(Kind::no_rule, "only /settings is served here"), now);
+  if (request.getMethod() == row_of(Call::get_settings).method) return refer(visit, {0, true, {}, {}}, now);
+  if (request.getMethod() != row_of(Call::put_settings).method)
+    return visit.answer(json_reply(Kind::wrong_method, "GET and PUT are served here"), now);
+  const std::string type = request.get("Content-Type", "application/json");
+  if (!is_same_name(type.substr(0, type.find_first_of("; ")), "application/json"))
+    return visit.answer(json_reply(Kind::wrong_content, "a configuration is application/json"), now);
+  ConfigurationCapture capture;
+  if (Fault found = read_configuration(visit.body(), capture)) {
+    LOG(WARNING) << "steering: configuration refused: " << found.step;
+    return visit.answer(json_reply(Kind::invalid, found.step), now);
+  }
+  refer(visit, {0, false, capture->edition, std::move(visit.body())}, now);
+}
+
+void Desk::refer(Visit& visit, OperatorCall call, Moment now) {
+  call.token = ++last_token_;
+  Open& open = open_[call.token];
+  open.desk = this;
+  open.token = call.token;
+  open.visit = visit.id();
+  open.is_read = call.is_read;
+  schedule_.set(open, now + most_wait);
+  const std::uint64_t token = call.token;
+  if (!events_.push(std::move(call))) finish(token, json_reply(Kind::overloaded, "too many calls at once"), now);
+}
+
+void Desk::finish(std::uint64_t token, Reply reply, Moment now) {
+  const auto found = open_.find(token);
+  if (found == open_.end()) return;
+  const VisitId id = found->second.visit;
+  open_.erase(found);
+  if (Visit* visit = server_.find(id)) visit->answer(std::move(reply), now);
+}
+
+void Desk::Open::on_due(Moment now) {
+  desk->finish(token, json_reply(Kind::no_leader, "no majority of the core answered in time"), now);
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/programs/follower.cpp
@@ -0,0 +1,211 @@
+#include "programs/follower.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace saddlewing {
+namespace {
+
+constexpr Span fetch_again{300};  // a body that did not come is asked for elsewhere
+constexpr Span tombstone{60000};
+constexpr std::size_t most_steps = 64;
+
+}  // namespace
+
+Follower::Follower(const Startup& startup, LifeId life, std::function<void(ViewCapture)> show)
+    : startup_(startup), life_(life), address_(Address{startup.ip_address, startup.inner_port}.text()), show_(std::move(show)),
+      contacts_(4, [this] { waker_.wake(); }), born_(Clock::now()) {
+  contacts_.push(startup.contacts);
+}
+
+Fault Follower::open() { return hub_.open(context_, Address{startup_.ip_address, startup_.inner_port}); }
+void Follower::start() { thread_ = std::thread([this] { run(); }); }
+
+void Follower::stop() {
+  should_stop_ = true;
+  waker_.wake();
+  if (thread_.joinable()) thread_.join();
+}
+
+void Follower::reach(const std::string& address) {
+  Address parsed;
+  if (sources_.contains(address) || !parse_address(address, parsed)) return;
+  Source& source = sources_[address];
+  source.spoke = std::make_unique<Spoke>(context_, parsed);
+  follow_due_ = {};
+}
+
+void Follower::run() {
+  std::vector<void*> handles;
+  while (!should_stop_) {
+    Moment now = Clock::now();
+    for (const auto& contacts : contacts_.take()) {
+      seeds_.clear();
+      for (const Address& contact : contacts) seeds_.push_back(Address{contact.host, startup_.inner_port}.text());
+    }
+    for (const std::string& address : seeds_) reach(address);
+    for (const std::string& address : registries_) reach(address);
+    std::erase_if(sources_, [&](const auto& source) {
+      const auto is_in = [&](const auto& list) { return std::find(list.begin(), list.end(), source.first) != list.end(); };
+      return !is_in(seeds_) && !is_in(registries_);
+    });
+    if (now >= follow_due_) follow_all(now);
+    handles.assign({hub_.handle()});
+    for (const auto& [address, source] : sources_) handles.push_back(source.spoke->handle());
+    const Moment due = is_ready_ || !configuration_ ? follow_due_ : std::min(follow_due_, now + 100ms);
+    wait_links(handles, waker_, std::clamp(std::chrono::ceil<Span>(due - Clock::now()), Span(0), Span(1000)));
+    now = Clock::now();
+    for (auto& [address, source] : sources_)
+      for (int count = 0; count < 256; ++count) {
+        const auto parcel = source.spoke->receive();
+        if (!parcel) break;
+        take(address, *parcel, now);
+      }
+    answer_traces(now);
+    fetch(now);
+    check_ready(now);
+    if (has_news_) publish();
+  }
+}
+
+void Follower::follow_one(Source& source, bool wants_body) {
+  const Edition held = configuration_ ? configuration_->edition : Edition{};
+  source.spoke->send(encode({FrameKind::follow, life_, address_}, Follow{held, source.life, source.mark, wants_body}));
+}
+
+void Follower::follow_all(Moment now) {
+  follow_due_ = now + startup_.follow;
+  for (auto& [address, source] : sources_) follow_one(source, false);
+  book_.forget_gone(now, tombstone);
+}
+
+void Follower::take(const std::string&, const Parcel& parcel, Moment now) {
+  ByteReader reader(parcel.bytes);
+  FrameHead head;
+  bool is_good = decode_head(reader, head);
+  if (!is_good) return;
+  const auto found = sources_.find(head.from);
+  if (found == sources_.end()) return;
+  Source& source = found->second;
+  source.heard = now;
+  if (head.kind == FrameKind::beat) {
+    Beat beat;
+    if ((is_good = decode(reader, beat))) take_beat(source, beat, now);
+  } else if (head.kind == FrameKind::body) {
+    Body body;
+    if ((is_good = decode(reader, body))) take_body(std::move(body), now);
+  } else if (head.kind == FrameKind::roster) {
+    Roster roster;
+    if ((is_good = decode(reader, roster))) take_roster(source, head, roster, now);
+  } else {
+    is_good = false;
+  }
+  if (!is_good) {
+    LOG_EVERY_N(WARNING, 100) << "follow: frame dropped, foreign or damaged, from " << head.from;
+  }
+}
+
+void Follower::take_beat(Source& source, const Beat& beat, Moment now) {
+  source.edition = beat.edition;
+  source.is_confirmed = beat.is_confirmed;
+  source.is_filled = beat.is_filled;
+  if (beat.is_confirmed) {
+    registries_ = beat.registries;
+    if (beat.brokers != brokers_) {
+      brokers_ = std::max<std::uint64_t>(1, beat.brokers);
+      has_news_ = true;
+    }
+  }
+  if (!configuration_ || beat.edition > configuration_->edition) fetch(now);
+}
+
+// Asks the registry heard last that holds the newest edition for its body.
+void Follower::fetch(Moment now) {
+  if (now < fetch_due_) return;
+  Source* best = nullptr;
+  const Edition held = configuration_ ? configuration_->edition : Edition{};
+  for (auto& [address, source] : sources_)
+    if (source.edition > held && (!best || source.edition > best->edition || (source.edition == best->edition && source.heard > best->heard)))
+      best = &source;
+  if (!best) return;
+  fetch_due_ = now + fetch_again;
+  follow_one(*best, true);
+}
+
+void Follower::take_body(Body body, Moment now) {
+  if (configuration_ && body.edition <= configuration_->edition) return;  // never back within a life
+  ConfigurationCapture capture;
+  if (Fault found = read_configuration(body.body, capture)) {
+    LOG(ERROR) << "follow: configuration unreadable: " << found.text();
+    return;
+  }
+  configuration_ = std::move(capture);
+  fetch_due_ = {};
+  has_news_ = true;
+  steps_.push_back({configuration_->edition, "held", now});
+  if (steps_.size() > most_steps) steps_.pop_front();
+  LOG(INFO) << "follow: edition " << configuration_->edition.value << " held";
+  follow_due_ = now;
+}
+
+void Follower::take_roster(Source& source, const FrameHead& head, const Roster& roster, Moment now) {
+  if (source.life != head.life.value) {  // another life there: only its whole roster counts
+    if (!roster.is_whole) return;
+    source.life = head.life.value;
+  } else if (roster.base > source.mark) {
+    return;  // a gap: the next follow tells what is held, and the rest comes again
+  }
+  for (const RosterEntry& entry : roster.entries) has_news_ |= book_.merge(entry, now);
+  source.mark = roster.is_whole ? roster.mark : std::max(source.mark, roster.mark);
+  source.has_roster = true;
+}
+
+// Ready: a configuration and a roster that a registry with a quorum behind it confirmed in this life, or, when no
+// such registry answers in time, the newest that any registry reached holds committed.
+void Follower::check_ready(Moment now) {
+  if (is_ready_ || !configuration_) return;
+  for (const auto& [address, source] : sources_) {
+    const bool is_current = source.heard != Moment{} && source.has_roster && source.edition <= configuration_->edition;
+    const bool is_trusted = source.is_confirmed && source.is_filled && source.edition == configuration_->edition;
+    if (!is_current || (!is_trusted && now - born_ < startup_.unconfirmed_wait)) continue;
+    is_ready_ = has_news_ = true;
+    LOG(INFO) << "follow: ready by edition " << configuration_->edition.value << (is_trusted ? "" : ", unconfirmed");
+    return;
+  }
+}
+
+void Follower::publish() {
+  has_news_ = false;
+  auto view = std::make_shared<View>();
+  view->configuration = configuration_;
+  view->is_ready = is_ready_;
+  view->brokers = brokers_;
+  const Moment now = Clock::now();
+  for (const auto& [id, line] : book_.lines()) {
+    if (line.entry.phase == Phase::gone) continue;
+    view->backends.push_back(line.entry);
+    view->backends.back().warm_left = line.warm_until > now ? static_cast<std::uint64_t>(span_between(now, line.warm_until).count()) : 0;
+  }
+  show_(std::move(view));
+  if (configuration_ && (steps_.empty() || steps_.back().edition != configuration_->edition || std::string_view(steps_.back().what) == "held"))
+    steps_.push_back({configuration_->edition, "in force", now});
+}
+
+void Follower::answer_traces(Moment now) {
+  while (const auto parcel = hub_.receive()) {
+    ByteReader reader(parcel->bytes);
+    FrameHead head;
+    if (!decode_head(reader, head) || head.kind != FrameKind::trace) continue;
+    Traced traced;
+    traced.node = startup_.node_name;
+    traced.role = "broker";
+    if (configuration_) traced.held = configuration_->edition;
+    for (const Stamped& step : steps_)
+      traced.steps.push_back({step.edition, step.what, static_cast<std::uint64_t>(span_between(step.when, now).count())});
+    traced.registries = registries_;
+    hub_.send(parcel->route, encode({FrameKind::traced, life_, address_}, traced));
+  }
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/programs/rings.h
@@ -0,0 +1,49 @@
+#pragma once
+// What the threads of a registry hand each other.
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coordination/agreement.h"
+#include "coordination/registry.h"
+#include "state/types.h"
+#include "transport/ring.h"
+
+namespace saddlewing {
+
+struct OperatorCall {  // steering to agree
+  std::uint64_t token = 0;
+  bool is_read = false;
+  Edition edition;
+  std::string body;
+};
+
+struct OperatorOutcome {  // agree to steering
+  std::uint64_t token = 0;
+  bool is_done = false;
+  std::string body;
+};
+
+struct Saved {  // disk to agree
+  std::uint64_t serial = 0;
+  bool is_saved = false;
+};
+struct Listed {  // watch to agree: one complete listing
+  std::vector<RosterEntry> entries;
+};
+struct Renewed {  // watch to agree: a probe was answered
+  std::string id;
+};
+using CoreEvent = std::variant<OperatorCall, Saved, Listed, Renewed>;
+
+struct WatchTarget {
+  std::string id, address, health_path;
+};
+struct WatchOrder {  // agree to watch: what to do from now on
+  bool is_observing = false;
+  std::vector<WatchTarget> targets;
+};
+using WatchOrderCapture = std::shared_ptr<const WatchOrder>;
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/programs/signals.h
@@ -0,0 +1,51 @@
+#pragma once
+// Signals and changes of the startup file, for the main thread.
+#include <sys/stat.h>
+
+#include <atomic>
+#include <csignal>
+#include <poll.h>
+#include <string>
+
+#include "transport/ring.h"
+
+namespace saddlewing {
+
+class Signals {
+ public:
+  Signals() {
+    waker_ = &own_;
+    std::signal(SIGPIPE, SIG_IGN);
+    struct sigaction action {};
+    action.sa_handler = [](int number) {
+      (number == SIGHUP ? should_reload_ : should_stop_) = true;
+      if (waker_) waker_->wake();
+    };
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaction(number, &action, nullptr);
+  }
+  ~Signals() { waker_ = nullptr; }
+
+  void wait(int milliseconds) {
+    pollfd waiting{own_.descriptor(), POLLIN, 0};
+    if (::poll(&waiting, 1, milliseconds) > 0) own_.clear();
+  }
+  bool should_stop() const { return should_stop_; }
+  // True once after SIGHUP or after the file changed without one.
+  bool should_reload(const std::string& path) {
+    struct stat facts {};
+    if (::stat(path.c_str(), &facts) == 0) {
+      const auto changed = facts.st_mtim.tv_sec * 1000000000ll + facts.st_mtim.tv_nsec + facts.st_size;
+      if (last_change_ && changed != last_change_) should_reload_ = true;
+      last_change_ = changed;
+    }
+    return should_reload_.exchange(false);
+  }
+
+ private:
+  inline static std::atomic<bool> should_stop_ = false, should_reload_ = false;
+  inline static const Waker* waker_ = nullptr;
+  Waker own_;
+  long long last_change_ = 0;
+};
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/programs/traffic.cpp
@@ -0,0 +1,254 @@
+#include "programs/traffic.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+#include "protocol/calls.h"
+
+namespace saddlewing {
+namespace {
+
+constexpr Span still_chosen{2500};  // after SIGTERM the platform may go on sending for two missed checks
+constexpr Span before_end{700};     // of the grace, kept for the end itself
+
+Span parse_time_left(const std::string& text, Span otherwise) {
+  if (text.empty() || text.size() > 9) return otherwise;
+  std::int64_t value = 0;
+  for (const char digit : text) {
+    if (digit < '0' || digit > '9') return otherwise;
+    value = value * 10 + (digit - '0');
+  }
+  return Span(value);
+}
+
+std::string lower(std::string text) {
+  for (char& letter : text)
+    if (letter >= 'A' && letter <= 'Z') letter = static_cast<char>(letter + 32);
+  return text;
+}
+
+// The head as every backend gets it, without the lines that differ and without its end.
+std::string start_head(const Poco::Net::HTTPRequest& request, std::size_t body_size) {
+  std::string head = request.getMethod() + " " + request.getURI() + " HTTP/1.1\r\n";
+  const std::string nominated = "," + lower(request.get("Connection", "")) + ",";
+  for (const auto& [name, value] : request) {
+    if (is_hop_field(name) || is_same_name(name, field::time_left) || is_same_name(name, field::meant_server)) continue;
+    if (nominated.size() > 2 && nominated.find(lower(name)) != std::string::npos && !is_same_name(name, "Host") && !is_same_name(name, field::try_id))
+      continue;
+    ((head += name) += ": ") += value + "\r\n";
+  }
+  const std::string& method = request.getMethod();
+  if (body_size || method == "POST" || method == "PUT" || method == "PATCH")
+    head += "Content-Length: " + std::to_string(body_size) + "\r\n";
+  return head;
+}
+
+}  // namespace
+
+void Trip::on_due(Moment now) {
+  errand->on_due(now);
+  traffic.arrange(*this);
+}
+
+Traffic::Traffic(const Startup& startup, LifeId life)
+    : startup_(startup), server_(poller_, schedule_, *this, static_cast<std::size_t>(startup.file_handles) / 3), readiness_(*this),
+      ready_server_(poller_, schedule_, readiness_, 64), views_(64, [this] { poller_.wake(); }),
+      reserve_(startup.extra_tries, startup.retry_span, Clock::now()), picker_({startup.locality, startup.region}, life.value),
+      draw_(static_cast<std::uint32_t>(life.value)) {}
+
+Fault Traffic::open() {
+  if (Fault found = ready_server_.open(startup_.ready_check)) return found;
+  return server_.open(startup_.front);
+}
+
+void Traffic::start() { thread_ = std::thread([this] { run(); }); }
+
+void Traffic::run() {
+  for (;;) {
+    poller_.poll(schedule_.until_next(Clock::now(), is_leaving_ ? Span(50) : Span(1000)));
+    const Moment now = Clock::now();
+    auto views = views_.take();
+    if (!views.empty()) take_view(std::move(views.back()), now);
+    schedule_.run(now);
+    server_.reap();
+    ready_server_.reap();
+    graves_.clear();
+    ended_trips_.clear();
+    if (!should_leave_) continue;
+    check_leaving(now);
+    if (is_leaving_ && (now - left_ > startup_.grace - before_end || (now - left_ > still_chosen && server_.count() == 0))) return;
+  }
+}
+
+void Traffic::check_leaving(Moment now) {
+  if (!is_leaving_) {
+    is_leaving_ = true;
+    left_ = now;
+    server_.set_leaving();
+    LOG(INFO) << "traffic: leaving, " << server_.count() << " connections open";
+  }
+  if (now - left_ <= std::min(still_chosen, startup_.grace / 2)) return;
+  server_.stop_admitting();
+  server_.close_idle();
+  server_.reap();
+}
+
+void Traffic::take_view(ViewCapture view, Moment now) {
+  view_ = std::move(view);
+  reserve_.see_brokers(view_->brokers, now);
+  std::map<std::string, BackendPointer> kept;
+  for (const RosterEntry& entry : view_->backends) {
+    const auto found = backends_.find(entry.id);
+    BackendPointer backend = found != backends_.end() ? found->second : std::make_shared<Backend>();
+    if (found == backends_.end()) {
+      if (!parse_address(entry.address, backend->address)) continue;
+      backend->id = entry.id;
+      backend->service = entry.service;
+      backend->locality = entry.locality;
+      const auto region = startup_.localities.find(entry.locality);
+      backend->region = region != startup_.localities.end() ? region->second : entry.locality;
+      backend->capacity = static_cast<int>(std::max<std::uint64_t>(1, entry.capacity));
+      backend->warm_until = now + Span(static_cast<std::int64_t>(entry.warm_left));
+    }
+    backend->status = entry.status;
+    backend->is_cancelled = entry.phase != Phase::ready;
+    kept[entry.id] = std::move(backend);
+  }
+  for (const auto& [id, backend] : backends_) {
+    if (!kept.contains(id)) backend->is_cancelled = true;
+    if (!backend->is_cancelled) continue;
+    const auto idle = idle_.find(backend.get());
+    if (idle == idle_.end()) continue;
+    for (Wire* wire : std::vector<Wire*>(idle->second)) bury(wire);
+    idle_.erase(backend.get());
+  }
+  backends_ = std::move(kept);
+  if (!view_->configuration) return;
+  auto table = std::make_shared<Table>();
+  table->configuration = view_->configuration;
+  std::unordered_map<std::string, std::size_t> indices;
+  for (const Service& service : table->configuration->services) indices[service.name] = indices.size();
+  table->by_service.resize(indices.size());
+  for (const auto& [id, backend] : backends_)
+    if (const auto found = indices.find(backend->service); found != indices.end() && !backend->is_cancelled)
+      table->by_service[found->second].push_back(backend);
+  table_ = std::move(table);
+  const Limits& limits = table_->configuration->limits;
+  server_.set_limits({limits.most_header_bytes, limits.most_body_bytes, limits.header_wait, limits.quiet});
+}
+
+void Traffic::on_request(Visit& visit, Moment now) {
+  if (!view_ || !view_->is_ready || !table_) {
+    Reply reply = reply_of(Kind::not_ready);
+    reply.fields += "Retry-After: 0.3\r\n";
+    return visit.answer(std::move(reply), now);
+  }
+  const auto& request = visit.request();
+  const Rule* rule = table_->configuration->match(request.get("Host", ""), request.getURI());
+  if (!rule) return visit.answer(reply_of(Kind::no_rule), now);
+  auto trip = std::make_shared<Trip>(*this, visit.id());
+  trip->try_id = request.get(field::try_id, "");
+  if (trip->try_id.empty()) return visit.answer(reply_of(Kind::malformed, "a request needs its Try-Id"), now);
+  trip->method = request.getMethod();
+  trip->head_start = start_head(request, visit.body().size());
+  trip->body = std::move(visit.body());
+  const Span time_left = parse_time_left(request.get(field::time_left, ""), rule->give_up);
+  trip->errand = std::make_unique<Errand>(*this, table_, *rule, visit.began(), time_left);
+  trips_[trip->errand.get()] = trip;
+  by_visit_[visit.id()] = trip->errand.get();
+  trip->errand->start(now);
+  arrange(*trip);
+}
+
+void Traffic::arrange(Trip& trip) {
+  if (trip.errand->is_open()) schedule_.set(trip, trip.errand->next_due());
+  else schedule_.drop(trip);
+}
+
+void Traffic::on_gone(Visit& visit) {
+  const auto found = by_visit_.find(visit.id());
+  if (found == by_visit_.end()) return;
+  const auto trip = trips_.find(found->second);
+  by_visit_.erase(found);
+  if (trip == trips_.end()) return;
+  trip->second->errand->abandon();
+  schedule_.drop(*trip->second);
+  ended_trips_.push_back(std::move(trip->second));
+  trips_.erase(trip);
+}
+
+std::string Traffic::head_for(const Trip& trip, const Backend& backend, Moment now) const {
+  const auto left = std::max<std::int64_t>(1, span_between(now, trip.errand->cutoff()).count());
+  return trip.head_start + field::time_left + ": " + std::to_string(left) + "\r\n" + field::meant_server + ": " + backend.id + "\r\n\r\n";
+}
+
+bool Traffic::ask(Errand& errand, std::size_t part, Backend& backend, Moment now) {
+  const auto trip = trips_.find(&errand);
+  const auto pointer = backends_.find(backend.id);
+  if (trip == trips_.end() || pointer == backends_.end() || pointer->second.get() != &backend) return false;
+  auto& idle = idle_[&backend];
+  while (!idle.empty()) {
+    Wire* wire = idle.back();
+    idle.pop_back();
+    if (wire->ask(trip->second, part, now)) return true;
+    bury(wire);
+  }
+  auto fresh = std::make_unique<Wire>(*this, pointer->second);
+  Wire* wire = fresh.get();
+  wires_[wire] = std::move(fresh);
+  if (wire->ask(trip->second, part, now)) return true;
+  backend.breaker.fail(now, true);
+  bury(wire);
+  return false;
+}
+
+void Traffic::answer(Errand& errand, FinalAnswer answer, Moment now) {
+  const auto found = trips_.find(&errand);
+  if (found == trips_.end()) return;
+  const TripPointer trip = std::move(found->second);
+  trips_.erase(found);
+  schedule_.drop(*trip);
+  ended_trips_.push_back(trip);
+  by_visit_.erase(trip->visit);
+  Visit* visit = server_.find(trip->visit);
+  if (!visit) return;
+  Reply reply;
+  if (answer.kind != Kind::none) {
+    reply = reply_of(answer.kind);
+    if (answer.retry_after > Span(0)) reply.fields += "Retry-After: " + std::to_string(static_cast<double>(answer.retry_after.count()) / 1000) + "\r\n";
+  } else {
+    reply = {answer.status, std::move(answer.reason), std::move(answer.fields), std::move(answer.body), false};
+    if (errand.is_gathering()) reply.fields += std::string(field::try_id) + ": " + trip->try_id + "\r\n";
+  }
+  visit->answer(std::move(reply), now);
+}
+
+Budget& Traffic::budget(const std::string& service) {
+  return budgets_.try_emplace(service, startup_.retry_span, startup_.retry_share).first->second;
+}
+
+PickResult Traffic::pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int most_connections,
+                         Moment now) {
+  const auto brokers = static_cast<int>(std::max<std::uint64_t>(1, view_->brokers));
+  return picker_.pick(backends, tried, std::max(1, most_connections * 4 / 5 / brokers), now);
+}
+
+void Traffic::bury(Wire* wire) {
+  const auto found = wires_.find(wire);
+  if (found == wires_.end()) return;
+  if (const auto idle = idle_.find(&wire->backend()); idle != idle_.end()) std::erase(idle->second, wire);
+  schedule_.drop(*wire);
+  wire->end();
+  graves_.push_back(std::move(found->second));
+  wires_.erase(found);
+}
+
+void Traffic::Readiness::on_request(Visit& visit, Moment now) {
+  const std::string& target = visit.request().getURI();
+  if (target.substr(0, target.find('?')) != row_of(Call::readiness).path) return visit.answer(reply_of(Kind::no_rule), now);
+  if (traffic_.is_ready()) return visit.answer({200, "OK", "", "ready\n", false}, now);
+  visit.answer(reply_of(traffic_.is_leaving_ ? Kind::draining : Kind::not_ready), now);
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/programs/traffic.h
@@ -0,0 +1,131 @@
+#pragma once
+// The traffic thread of a broker: clients, backends, and the errands between them.
+#include <atomic>
+#include <map>
+#include <memory>
+#include <random>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+#include "coordination/errand.h"
+#include "programs/follower.h"
+#include "transport/caller.h"
+#include "transport/server.h"
+
+namespace saddlewing {
+
+class Traffic;
+
+// An errand under way, with the visit it answers.
+struct Trip final : Scheduled {
+  Trip(Traffic& traffic, VisitId visit) : traffic(traffic), visit(visit) {}
+  Traffic& traffic;
+  VisitId visit;
+  std::unique_ptr<Errand> errand;
+  std::string method, try_id, head_start, body;  // head_start: the request's head but for what differs by backend
+  void on_due(Moment now) override;
+};
+using TripPointer = std::shared_ptr<Trip>;
+
+// A connection to a backend.
+class Wire final : public CallOwner, public Scheduled {
+ public:
+  Wire(Traffic& traffic, BackendPointer backend);
+  ~Wire() override;
+  bool ask(TripPointer trip, std::size_t part, Moment now);
+  bool is_ended() const { return caller_.state() == Caller::State::ended; }
+  const Backend& backend() const { return *backend_; }
+  void end();
+
+  void on_outcome(Caller& caller, Moment now) override;
+  void on_breakdown(Caller& caller, Kind kind, Moment now) override;
+  void on_idle_end(Caller& caller) override;
+  void on_due(Moment now) override;
+
+ private:
+  TripPointer release();
+  void read_load(const Poco::Net::HTTPResponse& response, Moment now);
+
+  Traffic& traffic_;
+  BackendPointer backend_;
+  Caller caller_;
+  TripPointer trip_;  // null while idle
+  std::size_t part_ = 0;
+  Moment asked_{};
+  bool is_connect_checked_ = false;
+};
+
+class Traffic final : public Server::Handler, public Errand::Ground {
+ public:
+  Traffic(const Startup& startup, LifeId life);
+  Fault open();
+  void start();
+  void show(ViewCapture view) { views_.push(std::move(view)); }
+  void leave() {
+    should_leave_ = true;
+    poller_.wake();
+  }
+  void join() {
+    if (thread_.joinable()) thread_.join();
+  }
+
+  void on_request(Visit& visit, Moment now) override;
+  void on_gone(Visit& visit) override;
+  bool ask(Errand& errand, std::size_t part, Backend& backend, Moment now) override;
+  void answer(Errand& errand, FinalAnswer answer, Moment now) override;
+  Budget& budget(const std::string& service) override;
+  double reserve(Moment now) override { return reserve_.part(now); }
+  PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int most_connections,
+                  Moment now) override;
+  Pace& pace(const Rule& rule) override { return paces_[rule.name + rule.host + rule.path_start]; }
+  double draw() override { return std::uniform_real_distribution<double>(0, 1)(draw_); }
+
+ private:
+  friend class Wire;
+  friend struct Trip;
+  class Readiness final : public Server::Handler {
+   public:
+    explicit Readiness(const Traffic& traffic) : traffic_(traffic) {}
+    void on_request(Visit& visit, Moment now) override;
+    void on_gone(Visit&) override {}
+
+   private:
+    const Traffic& traffic_;
+  };
+  void run();
+  void take_view(ViewCapture view, Moment now);
+  void arrange(Trip& trip);
+  std::string head_for(const Trip& trip, const Backend& backend, Moment now) const;
+  bool is_ready() const { return view_ && view_->is_ready && !is_leaving_; }
+  void bury(Wire* wire);
+  void check_leaving(Moment now);
+
+  const Startup startup_;
+  Poller poller_;
+  Schedule schedule_;
+  Server server_;
+  Readiness readiness_;
+  Server ready_server_;
+  Ring<ViewCapture> views_;
+  ViewCapture view_;
+  TableCapture table_;
+  std::map<std::string, BackendPointer> backends_;  // by id
+  std::unordered_map<std::string, Budget> budgets_;  // by service
+  std::unordered_map<std::string, Pace> paces_;      // by rule
+  Reserve reserve_;
+  Picker picker_;
+  std::minstd_rand draw_;
+  std::unordered_map<const Errand*, TripPointer> trips_;
+  std::unordered_map<VisitId, Errand*> by_visit_;
+  std::unordered_map<const Backend*, std::vector<Wire*>> idle_;
+  std::unordered_map<Wire*, std::unique_ptr<Wire>> wires_;
+  std::vector<std::unique_ptr<Wire>> graves_;
+  std::vector<TripPointer> ended_trips_;
+  bool is_leaving_ = false;
+  Moment left_{};
+  std::atomic<bool> should_leave_ = false;
+  std::thread thread_;
+};
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/programs/vault.h
@@ -0,0 +1,48 @@
+#pragma once
+// The disk thread: it alone waits on syncs.
+#include <poll.h>
+
+#include <atomic>
+#include <glog/logging.h>
+#include <thread>
+
+#include "programs/rings.h"
+#include "state/store.h"
+
+namespace saddlewing {
+
+class Vault {
+ public:
+  Vault(Store& store, Ring<CoreEvent>& events)
+      : store_(store), events_(events), saves_(4, [this] { waker_.wake(); }) {}
+  void start() { thread_ = std::thread([this] { run(); }); }
+  bool save(Agreement::Save save) { return saves_.push(std::move(save)); }
+  // A stuck disk must not keep the process: its thread is left behind.
+  void stop() {
+    should_stop_ = true;
+    waker_.wake();
+    if (thread_.joinable()) thread_.detach();
+  }
+
+ private:
+  void run() {
+    while (!should_stop_) {
+      pollfd waiting{waker_.descriptor(), POLLIN, 0};
+      ::poll(&waiting, 1, -1);
+      waker_.clear();
+      for (const Agreement::Save& save : saves_.take()) {
+        const Fault found = store_.save(save.durable);
+        if (found) LOG(ERROR) << "disk: save failed: " << found.text();
+        events_.push(Saved{save.serial, !found});
+      }
+    }
+  }
+  Store& store_;
+  Ring<CoreEvent>& events_;
+  Waker waker_;
+  Ring<Agreement::Save> saves_;
+  std::atomic<bool> should_stop_ = false;
+  std::thread thread_;
+};
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/programs/wire.cpp
@@ -0,0 +1,143 @@
+// Connections to backends.
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+
+#include "programs/traffic.h"
+#include "protocol/calls.h"
+
+namespace saddlewing {
+namespace {
+
+constexpr std::size_t most_head = 32768, most_body = 16u << 20;
+constexpr Span connect_wait{250};
+constexpr Span past_cutoff{100};       // how long an asking is still waited for after its errand's cutoff
+constexpr Span longest_idle{10000};
+constexpr double stalled_times = 6;    // so many times the usual, and at least stalled_least: it stalls
+constexpr Span stalled_least{300};
+
+// How long an idle connection is kept, a little less than the backend does.
+Span idle_span(const Poco::Net::HTTPResponse& response) {
+  const std::string told = response.get("Keep-Alive", "");
+  const auto place = told.find("timeout=");
+  if (place == std::string::npos) return longest_idle;
+  return std::clamp(Span(std::atol(told.c_str() + place + 8) * 1000 - 500), Span(0), longest_idle);
+}
+
+}  // namespace
+
+Wire::Wire(Traffic& traffic, BackendPointer backend)
+    : traffic_(traffic), backend_(std::move(backend)), caller_(traffic.poller_, *this, backend_->address, most_head, most_body) {
+  ++backend_->connections;
+}
+
+Wire::~Wire() { end(); }
+
+void Wire::end() {
+  caller_.end();
+  if (backend_) --backend_->connections;
+  backend_.reset();
+}
+
+bool Wire::ask(TripPointer trip, std::size_t part, Moment now) {
+  const std::string head = traffic_.head_for(*trip, *backend_, now);
+  if (!caller_.ask(trip->body.empty() ? head : head + trip->body, trip->method == "HEAD", trip->try_id)) return false;
+  trip_ = std::move(trip);
+  part_ = part;
+  asked_ = now;
+  ++backend_->asked;
+  is_connect_checked_ = caller_.was_connected();
+  traffic_.schedule_.set(*this, now + (is_connect_checked_ ? std::max(stalled_least, Span(static_cast<std::int64_t>(backend_->mean_ms * stalled_times)))
+                                                           : connect_wait));
+  return true;
+}
+
+TripPointer Wire::release() {
+  --backend_->asked;
+  traffic_.schedule_.drop(*this);
+  return std::move(trip_);
+}
+
+void Wire::on_due(Moment now) {
+  if (!trip_) return traffic_.bury(this);  // idle for long enough
+  if (!caller_.was_connected()) {
+    backend_->breaker.fail(now, true);
+    const TripPointer trip = release();
+    const std::size_t part = part_;
+    caller_.end();
+    traffic_.bury(this);
+    return trip->errand->take_breakdown(part, Kind::silent, false, now);
+  }
+  const Moment last = trip_->errand->cutoff() + past_cutoff;
+  if (now < last) {
+    if (now - asked_ >= stalled_least) backend_->breaker.fail(now, false);
+    traffic_.schedule_.set(*this, now - asked_ >= stalled_least ? last : std::min(last, asked_ + stalled_least));
+    return;
+  }
+  const TripPointer trip = release();
+  caller_.end();
+  traffic_.bury(this);
+  trip->errand->take_breakdown(part_, Kind::silent, true, now);
+}
+
+void Wire::read_load(const Poco::Net::HTTPResponse& response, Moment now) {
+  int running = 0, waiting = 0, slots = 0;
+  if (std::sscanf(response.get(field::server_load, "").c_str(), "%d,%d,%d", &running, &waiting, &slots) != 3) return;
+  // What it told still counts the outcome just given.
+  backend_->foreign_load = std::max(0, running + waiting - 1 - (backend_->asked - 1));
+  backend_->load_seen = now;
+  if (slots > 0) backend_->capacity = slots;
+}
+
+void Wire::on_outcome(Caller& caller, Moment now) {
+  const auto& response = caller.reader().response();
+  if (!trip_) return on_idle_end(caller);
+  BackendOutcome outcome;
+  outcome.status = response.getStatus();
+  outcome.is_not_run = response.has(field::not_run) || outcome.status == 421;
+  outcome.seal = response.get(field::seal, "");
+  read_load(response, now);
+  const bool is_success = outcome.status >= 200 && outcome.status < 300;
+  const bool is_own = response.get(field::try_id, outcome.is_not_run ? trip_->try_id : "") == trip_->try_id;
+  // A success without its seal, or an answer that does not say whose it is, is none.
+  if (!is_own || (is_success && (outcome.seal.empty() || outcome.seal.find_first_of(", ") != std::string::npos || response.has("Content-Encoding")))) {
+    caller.end();
+    return on_breakdown(caller, Kind::garbled, now);
+  }
+  const Span took = span_between(asked_, now);
+  if (outcome.status == 421) backend_->breaker.fail(now, true);
+  else if (!outcome.is_not_run) {
+    backend_->breaker.succeed();
+    if (is_success) backend_->see_outcome(static_cast<double>(took.count()));
+  }
+  if (!trip_->errand->is_gathering()) {
+    outcome.reason = response.getReason();
+    for (const auto& [name, value] : response)
+      if (!is_hop_field(name)) ((outcome.fields += name) += ": ") += value + "\r\n";
+  }
+  outcome.body = std::move(caller.reader().body());
+  const std::size_t part = part_;
+  const Span idle = idle_span(response);
+  const TripPointer trip = release();
+  if (is_ended() || backend_->is_cancelled || idle <= Span(0)) {
+    traffic_.bury(this);
+  } else {
+    traffic_.idle_[backend_.get()].push_back(this);
+    traffic_.schedule_.set(*this, now + idle);
+  }
+  trip->errand->take_outcome(part, std::move(outcome), took, now);
+}
+
+void Wire::on_breakdown(Caller& caller, Kind kind, Moment now) {
+  if (!trip_) return on_idle_end(caller);
+  backend_->breaker.fail(now, kind == Kind::refused_connection);
+  const bool may_have_run = caller.has_sent();
+  const std::size_t part = part_;
+  const TripPointer trip = release();
+  traffic_.bury(this);
+  trip->errand->take_breakdown(part, kind, may_have_run, now);
+}
+
+void Wire::on_idle_end(Caller&) { traffic_.bury(this); }
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/protocol/calls.h
@@ -0,0 +1,42 @@
+#pragma once
+// Every call of operators, of the system to the platform and to backends, in one table.
+#include <string_view>
+
+namespace saddlewing {
+
+enum class Call { put_settings, get_settings, readiness, list_backends, probe_backend };
+
+struct CallRow {
+  Call call;
+  std::string_view method;
+  std::string_view path;  // empty: each service names its own
+};
+
+inline constexpr CallRow calls[] = {
+    {Call::put_settings, "PUT", "/settings"},
+    {Call::get_settings, "GET", "/settings"},
+    {Call::readiness, "GET", "/readiness"},
+    {Call::list_backends, "GET", "/backends"},
+    {Call::probe_backend, "GET", ""},
+};
+
+constexpr const CallRow& row_of(Call call) {
+  for (const CallRow& row : calls)
+    if (row.call == call) return row;
+  return calls[0];
+}
+
+// Names of header fields that both sides agree on.
+namespace field {
+inline constexpr const char* try_id = "Try-Id";
+inline constexpr const char* time_left = "Time-Left";
+inline constexpr const char* meant_server = "Meant-Server";
+inline constexpr const char* server_id = "Server-Id";
+inline constexpr const char* server_load = "Server-Load";
+inline constexpr const char* not_run = "Not-Run";
+inline constexpr const char* seal = "Answer-Seal";
+inline constexpr const char* part_seals = "Part-Seals";
+inline constexpr const char* parts_missing = "Parts-Missing";
+}  // namespace field
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/protocol/frames.cpp
@@ -0,0 +1,220 @@
+#include "protocol/frames.h"
+
+namespace saddlewing {
+namespace {
+
+constexpr std::uint64_t protocol_number = 0x5357'0001;
+
+Writer open_frame(const FrameHead& head, FrameKind kind) {
+  Writer writer;
+  writer.number(protocol_number).number(static_cast<std::uint64_t>(kind)).number(head.life.value).text(head.from);
+  return writer;
+}
+
+void write_texts(Writer& writer, const std::vector<std::string>& texts) {
+  writer.number(texts.size());
+  for (const std::string& text : texts) writer.text(text);
+}
+
+void read_texts(ByteReader& reader, std::vector<std::string>& texts) {
+  texts.resize(reader.count(8));
+  for (std::string& text : texts) text = reader.text();
+}
+
+template <class Enum>
+bool read_enum(ByteReader& reader, Enum& value, Enum last) {
+  const std::uint64_t number = reader.number();
+  if (number > static_cast<std::uint64_t>(last)) return false;
+  value = static_cast<Enum>(number);
+  return true;
+}
+
+Edition read_edition(ByteReader& reader) { return Edition{static_cast<std::int64_t>(reader.number())}; }
+
+}  // namespace
+
+const char* name_of(Status status) {
+  switch (status) {
+    case Status::up: return "UP";
+    case Status::down: return "DOWN";
+    case Status::starting: return "STARTING";
+    case Status::out_of_service: return "OUT_OF_SERVICE";
+    case Status::unknown: break;
+  }
+  return "UNKNOWN";
+}
+
+std::string encode(const FrameHead& head, const Ballot& value) {
+  Writer writer = open_frame(head, FrameKind::ballot);
+  writer.number(static_cast<std::uint64_t>(value.type)).number(value.from.value).text(value.address).number(value.term.value);
+  writer.number(value.entry_term.value).number(value.entry_index.value).number(value.commit.value).number(value.round);
+  writer.number(value.is_granted).number(value.is_handed_over).number(value.is_stranger).text(value.leader);
+  write_members(writer, value.members);
+  writer.number(value.entry != nullptr);
+  if (value.entry) write_entry(writer, *value.entry);
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, Ballot& value) {
+  if (!read_enum(reader, value.type, Ballot::Type::joined)) return false;
+  value.from.value = reader.number();
+  value.address = reader.text();
+  value.term.value = reader.number();
+  value.entry_term.value = reader.number();
+  value.entry_index.value = reader.number();
+  value.commit.value = reader.number();
+  value.round = reader.number();
+  value.is_granted = reader.number();
+  value.is_handed_over = reader.number();
+  value.is_stranger = reader.number();
+  value.leader = reader.text();
+  read_members(reader, value.members);
+  if (reader.number()) {
+    auto entry = std::make_shared<Entry>();
+    read_entry(reader, *entry);
+    value.entry = std::move(entry);
+  }
+  return reader.is_whole();
+}
+
+std::string encode(const FrameHead& head, const Forward& value) {
+  Writer writer = open_frame(head, FrameKind::forward);
+  writer.number(value.token).number(value.is_read).number(value.edition.value).text(value.body);
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, Forward& value) {
+  value.token = reader.number();
+  value.is_read = reader.number();
+  value.edition = read_edition(reader);
+  value.body = reader.text();
+  return reader.is_whole();
+}
+
+std::string encode(const FrameHead& head, const Forwarded& value) {
+  Writer writer = open_frame(head, FrameKind::forwarded);
+  writer.number(value.token).number(value.is_done).text(value.body);
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, Forwarded& value) {
+  value.token = reader.number();
+  value.is_done = reader.number();
+  value.body = reader.text();
+  return reader.is_whole();
+}
+
+std::string encode(const FrameHead& head, const Follow& value) {
+  Writer writer = open_frame(head, FrameKind::follow);
+  writer.number(value.edition.value).number(value.roster_life).number(value.roster_mark).number(value.wants_body);
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, Follow& value) {
+  value.edition = read_edition(reader);
+  value.roster_life = reader.number();
+  value.roster_mark = reader.number();
+  value.wants_body = reader.number();
+  return reader.is_whole();
+}
+
+std::string encode(const FrameHead& head, const Beat& value) {
+  Writer writer = open_frame(head, FrameKind::beat);
+  writer.number(value.edition.value).number(value.is_confirmed).number(value.is_filled).number(value.brokers);
+  write_texts(writer, value.registries);
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, Beat& value) {
+  value.edition = read_edition(reader);
+  value.is_confirmed = reader.number();
+  value.is_filled = reader.number();
+  value.brokers = reader.number();
+  read_texts(reader, value.registries);
+  return reader.is_whole();
+}
+
+std::string encode(const FrameHead& head, const Body& value) {
+  Writer writer = open_frame(head, FrameKind::body);
+  writer.number(value.edition.value).text(value.body);
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, Body& value) {
+  value.edition = read_edition(reader);
+  value.body = reader.text();
+  return reader.is_whole();
+}
+
+std::string encode(const FrameHead& head, const Roster& value) {
+  Writer writer = open_frame(head, FrameKind::roster);
+  writer.number(value.is_whole).number(value.is_observed).number(value.is_filled).number(value.base).number(value.mark);
+  writer.number(value.entries.size());
+  for (const RosterEntry& entry : value.entries) {
+    writer.text(entry.id).text(entry.service).text(entry.address).text(entry.locality).text(entry.software);
+    writer.number(entry.capacity).number(static_cast<std::uint64_t>(entry.phase)).number(static_cast<std::uint64_t>(entry.status));
+    writer.number(entry.stamp).number(entry.warm_left).number(entry.hold_left);
+  }
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, Roster& value) {
+  value.is_whole = reader.number();
+  value.is_observed = reader.number();
+  value.is_filled = reader.number();
+  value.base = reader.number();
+  value.mark = reader.number();
+  value.entries.resize(reader.count(88));
+  for (RosterEntry& entry : value.entries) {
+    entry.id = reader.text();
+    entry.service = reader.text();
+    entry.address = reader.text();
+    entry.locality = reader.text();
+    entry.software = reader.text();
+    entry.capacity = reader.number();
+    if (!read_enum(reader, entry.phase, Phase::gone) || !read_enum(reader, entry.status, Status::unknown)) return false;
+    entry.stamp = reader.number();
+    entry.warm_left = reader.number();
+    entry.hold_left = reader.number();
+  }
+  return reader.is_whole();
+}
+
+std::string encode_trace(const FrameHead& head) { return open_frame(head, FrameKind::trace).take(); }
+
+std::string encode(const FrameHead& head, const Traced& value) {
+  Writer writer = open_frame(head, FrameKind::traced);
+  writer.text(value.node).text(value.role).number(value.held.value).number(value.is_leader).number(value.steps.size());
+  for (const Step& step : value.steps) writer.number(step.edition.value).text(step.what).number(step.age);
+  write_texts(writer, value.registries);
+  write_texts(writer, value.brokers);
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, Traced& value) {
+  value.node = reader.text();
+  value.role = reader.text();
+  value.held = read_edition(reader);
+  value.is_leader = reader.number();
+  value.steps.resize(reader.count(24));
+  for (Step& step : value.steps) {
+    step.edition = read_edition(reader);
+    step.what = reader.text();
+    step.age = reader.number();
+  }
+  read_texts(reader, value.registries);
+  read_texts(reader, value.brokers);
+  return reader.is_whole();
+}
+
+bool decode_head(ByteReader& reader, FrameHead& head) {
+  if (reader.number() != protocol_number) return false;
+  const std::uint64_t kind = reader.number();
+  if (kind < static_cast<std::uint64_t>(FrameKind::ballot) || kind > static_cast<std::uint64_t>(FrameKind::traced)) return false;
+  head.kind = static_cast<FrameKind>(kind);
+  head.life.value = reader.number();
+  head.from = reader.text();
+  return reader.is_good();
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/protocol/frames.h
@@ -0,0 +1,141 @@
+#pragma once
+// Frames between the system's own processes. Each opens with the protocol's number, its kind, the sender's life
+// and the sender's inner address; whatever does not decode whole is foreign or damaged and is dropped.
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "state/bytes.h"
+#include "state/store.h"
+#include "state/types.h"
+
+namespace saddlewing {
+
+enum class FrameKind : std::uint64_t {
+  ballot = 1,   // agreement between registries
+  forward,      // an operator's call handed to the leader
+  forwarded,    // its outcome
+  follow,       // a broker says what it holds
+  beat,         // a registry says what it holds
+  body,         // a configuration
+  roster,       // entries of the registry of backends
+  trace,        // the tracer asks
+  traced,       // a node's recent steps
+};
+
+struct FrameHead {
+  FrameKind kind{};
+  LifeId life;
+  std::string from;  // inner address of the sender; empty for a tool
+};
+
+struct Ballot {
+  enum class Type : std::uint64_t { pre_vote, pre_voted, vote, voted, append, appended, hand_over, join, joined };
+  Type type{};
+  MemberId from;
+  std::string address;
+  Term term;
+  Term entry_term;      // the sender's last entry
+  Index entry_index;
+  Index commit;
+  std::uint64_t round = 0;
+  bool is_granted = false;
+  bool is_handed_over = false;  // the vote follows a hand-over: a live leader is no objection
+  bool is_stranger = false;     // the receiver is no member any more
+  EntryCapture entry;           // with append, when the follower lacks it
+  std::vector<Member> members;  // with joined
+  std::string leader;           // with joined: its inner address
+};
+
+struct Forward {
+  std::uint64_t token = 0;
+  bool is_read = false;
+  Edition edition;
+  std::string body;
+};
+
+struct Forwarded {
+  std::uint64_t token = 0;
+  bool is_done = false;
+  std::string body;  // of a read
+};
+
+struct Follow {
+  Edition edition;
+  std::uint64_t roster_life = 0, roster_mark = 0;  // what the broker holds of this registry's roster
+  bool wants_body = false;
+};
+
+struct Beat {
+  Edition edition;
+  bool is_confirmed = false;  // a quorum stands behind it
+  bool is_filled = false;     // its roster was refilled since it started
+  std::uint64_t brokers = 0;  // brokers heard of late
+  std::vector<std::string> registries;  // inner addresses of the core
+};
+
+struct Body {
+  Edition edition;
+  std::string body;
+};
+
+enum class Phase : std::uint64_t { ready, emptying, gone };
+enum class Status : std::uint64_t { up, down, starting, out_of_service, unknown };
+const char* name_of(Status status);
+
+// An entry as it travels: spans, never instants.
+struct RosterEntry {
+  std::string id, service, address, locality, software;
+  std::uint64_t capacity = 1;
+  Phase phase{};
+  Status status = Status::starting;
+  std::uint64_t stamp = 0;  // of status and hold; the greater wins
+  std::uint64_t warm_left = 0, hold_left = 0;  // milliseconds
+};
+
+struct Roster {
+  bool is_whole = false;      // everything, not only what changed since `base`
+  bool is_observed = false;   // the sender lists the platform itself at present
+  bool is_filled = false;
+  std::uint64_t base = 0, mark = 0;
+  std::vector<RosterEntry> entries;
+};
+
+// One step in the life of an edition at a node.
+struct Step {
+  Edition edition;
+  std::string what;        // taken, committed, sent, held, in force
+  std::uint64_t age = 0;   // milliseconds before the reply
+};
+
+struct Traced {
+  std::string node, role;
+  Edition held;
+  bool is_leader = false;
+  std::vector<Step> steps;
+  std::vector<std::string> registries, brokers;  // inner addresses it knows
+};
+
+std::string encode(const FrameHead& head, const Ballot& value);
+std::string encode(const FrameHead& head, const Forward& value);
+std::string encode(const FrameHead& head, const Forwarded& value);
+std::string encode(const FrameHead& head, const Follow& value);
+std::string encode(const FrameHead& head, const Beat& value);
+std::string encode(const FrameHead& head, const Body& value);
+std::string encode(const FrameHead& head, const Roster& value);
+std::string encode(const FrameHead& head, const Traced& value);
+std::string encode_trace(const FrameHead& head);
+
+// The head alone; false for a foreign or damaged frame.
+bool decode_head(ByteReader& reader, FrameHead& head);
+bool decode(ByteReader& reader, Ballot& value);
+bool decode(ByteReader& reader, Forward& value);
+bool decode(ByteReader& reader, Forwarded& value);
+bool decode(ByteReader& reader, Follow& value);
+bool decode(ByteReader& reader, Beat& value);
+bool decode(ByteReader& reader, Body& value);
+bool decode(ByteReader& reader, Roster& value);
+bool decode(ByteReader& reader, Traced& value);
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/state/bytes.h
@@ -0,0 +1,93 @@
+#pragma once
+// Numbers and texts as bytes: eight bytes a number, little end first; a text behind its length.
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "state/store.h"
+
+namespace saddlewing {
+
+class Writer {
+ public:
+  Writer& number(std::uint64_t value) {
+    for (int shift = 0; shift < 64; shift += 8) bytes_.push_back(static_cast<char>(value >> shift));
+    return *this;
+  }
+  Writer& text(std::string_view value) {
+    number(value.size());
+    bytes_.append(value);
+    return *this;
+  }
+  const std::string& bytes() const { return bytes_; }
+  std::string take() { return std::move(bytes_); }
+
+ private:
+  std::string bytes_;
+};
+
+// Invariant: after the first read beyond the end every read gives 0 or nothing, and is_whole stays false.
+class ByteReader {
+ public:
+  explicit ByteReader(std::string_view bytes) : rest_(bytes) {}
+  std::uint64_t number() {
+    if (rest_.size() < 8) return fail(), 0;
+    std::uint64_t value = 0;
+    for (int place = 7; place >= 0; --place) value = value << 8 | static_cast<unsigned char>(rest_[place]);
+    rest_.remove_prefix(8);
+    return value;
+  }
+  std::string text() {
+    const std::uint64_t size = number();
+    if (size > rest_.size()) return fail(), std::string();
+    std::string value(rest_.substr(0, size));
+    rest_.remove_prefix(size);
+    return value;
+  }
+  // A count of items that take at least `least` bytes each: never more than could be there.
+  std::uint64_t count(std::uint64_t least) {
+    const std::uint64_t value = number();
+    if (value > rest_.size() / least) return fail(), 0;
+    return value;
+  }
+  bool is_good() const { return is_good_; }
+  bool is_whole() const { return is_good_ && rest_.empty(); }
+
+ private:
+  void fail() {
+    is_good_ = false;
+    rest_ = {};
+  }
+  std::string_view rest_;
+  bool is_good_ = true;
+};
+
+inline void write_members(Writer& writer, const std::vector<Member>& members) {
+  writer.number(members.size());
+  for (const Member& member : members) writer.number(member.id.value).text(member.address);
+}
+
+inline void read_members(ByteReader& reader, std::vector<Member>& members) {
+  members.resize(reader.count(16));
+  for (Member& member : members) {
+    member.id.value = reader.number();
+    member.address = reader.text();
+  }
+}
+
+inline void write_entry(Writer& writer, const Entry& entry) {
+  writer.number(entry.term.value).number(entry.index.value).number(entry.edition.value).text(entry.body);
+  writer.number(entry.core_size);
+  write_members(writer, entry.members);
+}
+
+inline void read_entry(ByteReader& reader, Entry& entry) {
+  entry.term.value = reader.number();
+  entry.index.value = reader.number();
+  entry.edition.value = static_cast<std::int64_t>(reader.number());
+  entry.body = reader.text();
+  entry.core_size = static_cast<std::uint32_t>(reader.number());
+  read_members(reader, entry.members);
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/state/configuration.h
@@ -0,0 +1,59 @@
+#pragma once
+// The operator's configuration: an immutable capture, swapped whole.
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "state/error.h"
+#include "state/types.h"
+
+namespace saddlewing {
+
+struct Service {
+  std::string name, health_path;
+  int most_connections = 1;
+};
+
+struct Share {
+  ServiceIndex service;
+  double weight = 0;
+};
+
+// Invariant: exactly one of `shares` and `shards` is filled; a plain `service` is one share.
+struct Rule {
+  std::string name, host, path_start;
+  bool is_harmless = false;
+  Span give_up{0}, target{0};
+  int rank = 0, tries = 1;
+  std::vector<Share> shares;
+  double weight_sum = 0;
+  std::vector<ServiceIndex> shards;
+  int best_count = 0;
+  double fewest_parts = 1;
+};
+
+struct Limits {
+  std::size_t most_header_bytes = 16384, most_body_bytes = 262144;
+  Span header_wait{3000}, quiet{15000};
+};
+
+// Invariant: rules of a host are ordered by falling length of their prefix; every index is within `services`.
+struct Configuration {
+  Edition edition;
+  std::vector<Service> services;
+  std::vector<Rule> rules;
+  std::unordered_map<std::string, std::vector<std::uint32_t>> by_host;
+  Limits limits;
+  std::string body;  // byte for byte as the operator sent it
+
+  const Rule* match(std::string_view host, std::string_view path) const;
+};
+using ConfigurationCapture = std::shared_ptr<const Configuration>;
+
+// Checks the whole document. The fault's step names the field and what is wrong with it.
+Fault read_configuration(const std::string& body, ConfigurationCapture& capture);
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/state/startup.h
@@ -0,0 +1,55 @@
+#pragma once
+// What a process is told when it starts, and again when the file changes.
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "state/error.h"
+#include "state/types.h"
+
+namespace Json {
+class Value;
+}
+
+namespace saddlewing {
+
+struct Address {
+  std::string host;  // dotted IPv4
+  int port = 0;
+  std::string text() const { return host + ":" + std::to_string(port); }
+  auto operator<=>(const Address&) const = default;
+};
+bool parse_address(const std::string& text, Address& address);
+
+// Invariant: every field was checked by read_startup; spans are positive, shares within 0 and 1.
+struct Startup {
+  std::string node_name, ip_address, locality, region, data_folder;
+  std::vector<Address> contacts;                  // steering addresses of some registries
+  std::map<std::string, std::string> localities;  // locality to region
+  Address front, ready_check, control, platform;  // port 0: not told
+  int inner_port = 0;                             // for frames between nodes; alike on every machine
+  bool is_first_run = false;
+  double platform_rate = 10;
+  std::size_t memory_bytes = 256u << 20;
+  int file_handles = 1024;
+  Span empty_out{3000}, grace{6000}, take_effect{3000}, reuse_wait{2000}, retry_span{10000};
+  double retry_share = 0.2;
+  int extra_tries = 0;
+  // Options of the project, under the table `options`.
+  Span beat{150}, election{700};        // agreement: leader's beat, least election time-out
+  Span renewal{2000}, hold{6000}, sweep{1000};  // registry of backends
+  double renewal_threshold = 0.85;
+  bool is_preserving = true;            // eviction pauses under the threshold
+  Span listing{500}, follow{400};       // platform list; broker's beat to the registries
+  Span unconfirmed_wait{2000};          // then a broker serves by what any registry holds committed
+};
+
+// Reads and checks one file; the fault names the field.
+Fault read_startup(const std::string& path, bool is_registry, Startup& startup);
+Fault check_startup(const std::string& text, bool is_registry, Startup& startup);
+
+// Strict JSON: one value, no comments, no key twice. Used for every operator's document.
+bool read_json(const std::string& text, Json::Value& value, std::string& reason);
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/state/store.h
@@ -0,0 +1,63 @@
+#pragma once
+// What a registry must not lose, on LMDB.
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "state/error.h"
+#include "state/types.h"
+
+namespace saddlewing {
+
+struct Member {
+  MemberId id;
+  std::string address;  // inner address, host:port
+  auto operator<=>(const Member&) const = default;
+};
+
+// One entry of the agreement. It holds the whole state, so it stands for all entries before it.
+struct Entry {
+  Term term;
+  Index index;
+  Edition edition;
+  std::string body;
+  std::vector<Member> members;
+  std::uint32_t core_size = 0;  // how many voters the core was founded with
+};
+using EntryCapture = std::shared_ptr<const Entry>;
+
+// Invariant: `self` never changes once written; `term` never falls; `vote` is of `term`.
+struct Durable {
+  MemberId self;
+  Term term;
+  MemberId vote;
+  EntryCapture entry;
+};
+
+std::string encode_durable(const Durable& durable);
+bool decode_durable(const std::string& bytes, Durable& durable);
+
+// Every save writes a fresh LMDB file, syncs it and renames it over the old one, so that a loss of power
+// leaves either record whole: LMDB's own meta pages carry no checksum against torn writes.
+class Store {
+ public:
+  // Numbered points at which a test may make the store fail.
+  enum class Point { open = 1, put, commit, sync, rename, folder_sync };
+  using Inject = std::function<bool(Point)>;  // true: fail here
+
+  explicit Store(std::string folder, Inject inject = {}) : folder_(std::move(folder)), inject_(std::move(inject)) {}
+  enum class Found { nothing, record, damaged };
+  Found load(Durable& durable, Fault& fault) const;
+  Fault save(const Durable& durable);
+
+ private:
+  Fault write_fresh(const std::string& path, const std::string& bytes);
+  bool should_fail(Point point) const { return inject_ && inject_(point); }
+
+  std::string folder_;
+  Inject inject_;
+};
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/transport/caller.cpp
@@ -0,0 +1,110 @@
+#include "transport/caller.h"
+
+#include "protocol/calls.h"
+
+namespace saddlewing {
+
+Caller::Caller(Poller& poller, CallOwner& owner, const Address& address, std::size_t most_head, std::size_t most_body)
+    : poller_(poller), owner_(owner), reader_(false, most_head, most_body) {
+  auto channel = Channel::connect(address);
+  if (!channel) {
+    state_ = State::ended;
+    return;
+  }
+  channel_ = std::move(*channel);
+  poller_.watch(channel_.socket(), Poller::read | Poller::write, *this);
+}
+
+void Caller::end() {
+  if (state_ == State::ended) return;
+  state_ = State::ended;
+  poller_.leave(channel_.socket());
+  channel_ = Channel();
+}
+
+bool Caller::ask(const std::string& bytes, bool is_head, const std::string& try_id) {
+  if (state_ == State::ended) return false;
+  try_id_ = try_id;
+  reader_.reset();
+  if (is_head) reader_.expect_no_body();
+  out_ = bytes;
+  sent_ = 0;
+  has_sent_ = has_heard_ = false;
+  is_asked_ = true;
+  if (state_ == State::connecting) return true;
+  state_ = State::asking;
+  const Transfer gone = channel_.send(out_.data(), out_.size());
+  if (gone.is_closed) {
+    end();
+    return false;
+  }
+  sent_ = gone.count;
+  has_sent_ = sent_ > 0;
+  if (sent_ < out_.size()) poller_.change(channel_.socket(), Poller::read | Poller::write);
+  return true;
+}
+
+void Caller::on_ready(bool is_readable, bool is_writable) {
+  const Moment now = Clock::now();
+  if (state_ == State::connecting) {
+    if (!is_writable && !is_readable) return;
+    if (!channel_.is_connected_well()) return fail(Kind::refused_connection, now);
+    was_connected_ = true;
+    state_ = is_asked_ ? State::asking : State::idle;
+    return flush(now);
+  }
+  if (is_writable && state_ != State::ended) flush(now);
+  if (is_readable && state_ != State::ended) read(now);
+}
+
+void Caller::flush(Moment now) {
+  while (sent_ < out_.size()) {
+    const Transfer gone = channel_.send(out_.data() + sent_, out_.size() - sent_);
+    if (gone.is_closed) return fail(Kind::broke_off, now);
+    if (!gone.count) return poller_.change(channel_.socket(), Poller::read | Poller::write);
+    sent_ += gone.count;
+    has_sent_ = true;
+  }
+  poller_.change(channel_.socket(), Poller::read);
+}
+
+void Caller::fail(Kind kind, Moment now) {
+  const bool is_idle = state_ == State::idle;
+  end();
+  if (is_idle) owner_.on_idle_end(*this);
+  else owner_.on_breakdown(*this, kind, now);
+}
+
+bool Caller::is_surplus() const {
+  if (try_id_.empty()) return false;
+  const auto& response = reader_.response();
+  return response.has(field::try_id) && response.get(field::try_id) != try_id_;
+}
+
+void Caller::read(Moment now) {
+  static thread_local char bytes[65536];
+  for (;;) {
+    const Transfer got = channel_.receive(bytes, sizeof bytes);
+    if (got.is_closed) return fail(Kind::broke_off, now);
+    if (!got.count) return;
+    if (state_ == State::idle) return fail(Kind::garbled, now);
+    has_heard_ = true;
+    in_.append(bytes, got.count);
+    const MessageReader::Step step = reader_.advance(in_);
+    if (step == MessageReader::Step::failed) return fail(Kind::garbled, now);
+    if (step == MessageReader::Step::done) {
+      if (!is_surplus()) break;
+      is_doubtful_ = true;
+      reader_.reset();
+      if (!in_.empty() && reader_.advance(in_) == MessageReader::Step::done && !is_surplus()) break;
+      if (reader_.why() != Kind::none || (!in_.empty() && !reader_.has_head())) return fail(Kind::garbled, now);
+    }
+    if (got.count < sizeof bytes) return;
+  }
+  is_asked_ = false;
+  if (!in_.empty() || !reader_.facts().is_persistent || is_doubtful_ || sent_ < out_.size()) end();
+  else state_ = State::idle;
+  owner_.on_outcome(*this, now);
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/transport/caller.h
@@ -0,0 +1,57 @@
+#pragma once
+// The calling side of HTTP: one connection, one request at a time.
+#include <memory>
+#include <string>
+
+#include "transport/channel.h"
+#include "transport/http.h"
+
+namespace saddlewing {
+
+class Caller;
+
+// Whoever made a call. Exactly one of the two comes for each call begun.
+class CallOwner {
+ public:
+  virtual ~CallOwner() = default;
+  virtual void on_outcome(Caller& caller, Moment now) = 0;
+  virtual void on_breakdown(Caller& caller, Kind kind, Moment now) = 0;
+  virtual void on_idle_end(Caller& caller) = 0;  // an idle connection ended or spoke out of turn
+};
+
+// Its way: Connecting -> Asking -> Idle -> Asking ... -> Ended.
+// Invariant: bytes beyond the outcome end the connection, so an idle one is clean.
+class Caller final : public Watcher {
+ public:
+  enum class State { connecting, asking, idle, ended };
+  Caller(Poller& poller, CallOwner& owner, const Address& address, std::size_t most_head, std::size_t most_body);
+  ~Caller() override { end(); }
+
+  // False: the connection is gone. Outcomes with another Try-Id than `try_id` are surplus and are skipped.
+  bool ask(const std::string& bytes, bool is_head, const std::string& try_id = {});
+  State state() const { return state_; }
+  MessageReader& reader() { return reader_; }
+  bool has_sent() const { return has_sent_; }      // any byte of the request left
+  bool has_heard() const { return has_heard_; }    // any byte of the outcome came
+  bool was_connected() const { return was_connected_; }
+  void end();
+
+  void on_ready(bool is_readable, bool is_writable) override;
+
+ private:
+  bool is_surplus() const;
+  void read(Moment now);
+  void flush(Moment now);
+  void fail(Kind kind, Moment now);
+
+  Poller& poller_;
+  CallOwner& owner_;
+  Channel channel_;
+  MessageReader reader_;
+  State state_ = State::connecting;
+  std::string out_, in_, try_id_;
+  std::size_t sent_ = 0;
+  bool has_sent_ = false, has_heard_ = false, was_connected_ = false, is_asked_ = false, is_doubtful_ = false;
+};
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/transport/ring.h
@@ -0,0 +1,64 @@
+#pragma once
+// Bounded rings join the threads; a full ring refuses and never blocks its writer.
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <vector>
+
+namespace saddlewing {
+
+// Wakes a thread that waits on descriptors.
+class Waker {
+ public:
+  Waker() : descriptor_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+  ~Waker() { ::close(descriptor_); }
+  Waker(const Waker&) = delete;
+  Waker& operator=(const Waker&) = delete;
+  int descriptor() const { return descriptor_; }
+  void wake() const {
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = ::write(descriptor_, &one, sizeof one);
+  }
+  void clear() const {
+    std::uint64_t count;
+    [[maybe_unused]] const auto got = ::read(descriptor_, &count, sizeof count);
+  }
+
+ private:
+  int descriptor_;
+};
+
+// Invariant: at most `capacity` items wait. The reader is woken only when the ring was empty.
+template <class T>
+class Ring {
+ public:
+  Ring(std::size_t capacity, std::function<void()> wake) : capacity_(capacity), wake_(std::move(wake)) {}
+  bool push(T item) {
+    bool was_empty;
+    {
+      const std::lock_guard lock(mutex_);
+      if (items_.size() >= capacity_) return false;
+      was_empty = items_.empty();
+      items_.push_back(std::move(item));
+    }
+    if (was_empty && wake_) wake_();
+    return true;
+  }
+  std::vector<T> take() {
+    std::vector<T> taken;
+    const std::lock_guard lock(mutex_);
+    taken.swap(items_);
+    return taken;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::size_t capacity_;
+  std::vector<T> items_;
+  std::function<void()> wake_;
+};
+
+}  // namespace saddlewing
