--- a/src/programs/desk.cpp
+++ b/src/programs/desk.cpp
@@ -99,6 +99,9 @@
   const auto found = open_.find(token);
   if (found == open_.end()) return;
   const VisitId id = found->second.visit;
+  if (found->second.is_read || reply.status != 200)
+    LOG(INFO) << "steering: " << (found->second.is_read ? "read" : "change") << " answered " << reply.status << ", "
+              << reply.body.size() << " bytes";
   open_.erase(found);
   if (Visit* visit = server_.find(id)) visit->answer(std::move(reply), now);
 }
