--- a/src/transport/channel.cpp
+++ b/src/transport/channel.cpp
@@ -5,11 +5,20 @@
 #include <netinet/tcp.h>
 #include <unistd.h>
 
+#include <cerrno>
+
 namespace saddlewing {
 
 using Poco::Net::PollSet;
 using Poco::Net::SocketAddress;
 
+namespace {
+
+// POCO throws even when a non-blocking socket merely has no room.
+bool is_momentary(int code) { return code == EAGAIN || code == EWOULDBLOCK || code == EINTR; }
+
+}  // namespace
+
 void Channel::prepare() {
   try {
     socket_.setBlocking(false);
@@ -38,8 +47,8 @@
   try {
     const int sent = socket_.sendBytes(bytes, static_cast<int>(count));
     return {sent > 0 ? static_cast<std::size_t>(sent) : 0, false};
-  } catch (const Poco::Exception&) {
-    return {0, true};
+  } catch (const Poco::Exception& thrown) {
+    return {0, !is_momentary(thrown.code())};
   }
 }
 
@@ -48,8 +57,8 @@
     const int got = socket_.receiveBytes(bytes, static_cast<int>(count));
     if (got == 0) return {0, true};
     return {got > 0 ? static_cast<std::size_t>(got) : 0, false};
-  } catch (const Poco::Exception&) {
-    return {0, true};
+  } catch (const Poco::Exception& thrown) {
+    return {0, !is_momentary(thrown.code())};
   }
 }
 
