--- a/src/coordination/ballots.cpp
+++ b/src/coordination/ballots.cpp
@@ -97,7 +97,8 @@
   if (ballot.term > durable_.term) return follow(ballot.term, now);
   if (role_ != Role::leader || ballot.term < durable_.term) return;
   const auto found = peers_.find(ballot.from);
-  if (found == peers_.end()) return;
+  // At a member's address somebody else answers: it lost its disk, and what it sent to join may be lost too.
+  if (found == peers_.end()) return take_join(ballot, now);
   Peer& peer = found->second;
   peer.heard = now;
   peer.round = std::max(peer.round, ballot.round);
--- /dev/null
+++ b/tests/cluster.h
@@ -0,0 +1,145 @@
+#pragma once
+// A core of registries in one thread: letters and saves pass through here, under a clock of its own.
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/agreement.h"
+
+namespace saddlewing::tests {
+
+class Cluster {
+ public:
+  struct Node {
+    std::string address;
+    std::unique_ptr<Agreement> agreement;  // null while down
+    Durable disk;                          // what was synced
+    bool has_disk = false, is_stuck = false;
+    std::optional<Agreement::Save> pending;
+    std::map<std::uint64_t, Agreement::Result> results;
+  };
+  struct Flying {
+    Moment due;
+    std::string to;
+    Ballot ballot;
+  };
+
+  explicit Cluster(std::size_t count) {
+    for (std::size_t at = 0; at < count; ++at) founders_.push_back("10.0.0." + std::to_string(at + 1) + ":7");
+    for (const std::string& address : founders_) {
+      auto entry = std::make_shared<Entry>();
+      for (std::size_t at = 0; at < count; ++at) entry->members.push_back({MemberId{at + 1}, founders_[at]});
+      Node& node = nodes_[address];
+      node.address = address;
+      node.disk = {MemberId{static_cast<std::uint64_t>(std::find(founders_.begin(), founders_.end(), address) - founders_.begin()) + 1}, {}, {}, entry};
+      node.has_disk = true;
+      start(address);
+    }
+  }
+
+  Moment now() const { return now_; }
+  Node& at(const std::string& address) { return nodes_[address]; }
+  const std::vector<std::string>& founders() const { return founders_; }
+
+  void start(const std::string& address) {
+    Node& node = nodes_[address];
+    node.address = address;
+    if (!node.has_disk) {  // an empty disk: a fresh id asks to join
+      node.disk = {MemberId{1000 + ++drawn_}, {}, {}, std::make_shared<Entry>()};
+      node.has_disk = true;
+    }
+    AgreementOptions options;
+    options.address = address;
+    options.draw = ++drawn_;
+    node.pending.reset();
+    node.agreement = std::make_unique<Agreement>(node.disk, options, founders_, now_);
+  }
+  void stop(const std::string& address) { nodes_[address].agreement.reset(); }
+  void wipe(const std::string& address) {
+    stop(address);
+    nodes_[address].has_disk = false;
+  }
+  void cut(const std::string& address) { cut_.insert(address); }
+  void heal() { cut_.clear(); }
+
+  void run(Span span) {
+    for (const Moment end = now_ + span; now_ < end; now_ += 5ms) {
+      std::vector<Flying> arrived;
+      for (auto place = flying_.begin(); place != flying_.end();)
+        if (place->due <= now_) arrived.push_back(std::move(*place)), place = flying_.erase(place);
+        else ++place;
+      for (const Flying& flying : arrived)
+        if (Node& node = nodes_[flying.to]; node.agreement) node.agreement->receive(flying.ballot, now_);
+      for (auto& [address, node] : nodes_) {
+        if (!node.agreement) continue;
+        if (node.pending && !node.is_stuck) {
+          node.disk = node.pending->durable;
+          const std::uint64_t serial = node.pending->serial;
+          node.pending.reset();
+          node.agreement->finish_save(serial, true, now_);
+        }
+        node.agreement->tick(now_);
+        flush(node);
+      }
+    }
+  }
+  // Until it holds, or not within ten seconds.
+  bool run_until(const std::function<bool()>& holds, Span most = Span(10000)) {
+    for (const Moment end = now_ + most; now_ < end;) {
+      if (holds()) return true;
+      run(5ms);
+    }
+    return holds();
+  }
+  std::string leader() {
+    std::string found;
+    Term newest;
+    for (auto& [address, node] : nodes_)
+      if (node.agreement && node.agreement->is_leader() && node.agreement->term() >= newest) found = address, newest = node.agreement->term();
+    return found;
+  }
+  bool has_leader() { return !leader().empty() && at(leader()).agreement->is_confirmed(now_); }
+  // The token of a proposal to the leader of the moment.
+  std::uint64_t propose(std::int64_t edition, const std::string& body) {
+    Node& node = at(leader());
+    node.agreement->propose(Edition{edition}, body, ++token_, now_);
+    flush(node);
+    return token_;
+  }
+  bool is_done(const std::string& address, std::uint64_t token) {
+    const auto found = at(address).results.find(token);
+    return found != at(address).results.end() && found->second.verdict == Agreement::Verdict::done;
+  }
+  std::string body_at(const std::string& address) {
+    const Node& node = at(address);
+    return node.agreement && node.agreement->committed() ? node.agreement->committed()->body : "";
+  }
+  std::function<bool(std::uint64_t, const Ballot&)> should_drop = [](std::uint64_t, const Ballot&) { return false; };
+  std::uint64_t sent() const { return sent_; }
+
+  void flush(Node& node) {
+    Agreement::Output output = node.agreement->take(now_);
+    if (output.save) node.pending = std::move(output.save);
+    for (auto& result : output.results) node.results[result.token] = result;
+    for (auto& letter : output.letters) {
+      const std::uint64_t number = ++sent_;
+      if (cut_.contains(node.address) || cut_.contains(letter.to) || should_drop(number, letter.ballot)) continue;
+      flying_.push_back({now_ + 12ms, letter.to, std::move(letter.ballot)});
+    }
+  }
+
+ private:
+  Moment now_ = Moment{} + 1000s;
+  std::vector<std::string> founders_;
+  std::map<std::string, Node> nodes_;
+  std::deque<Flying> flying_;
+  std::set<std::string> cut_;
+  std::uint64_t drawn_ = 0, token_ = 0, sent_ = 0;
+};
+
+}  // namespace saddlewing::tests
