--- a/src/coordination/agreement.cpp
+++ b/src/coordination/agreement.cpp
@@ -45,8 +45,10 @@
 }
 
 void Agreement::set_election(Moment now) {
-  const auto extra = static_cast<std::int64_t>(draw_() % static_cast<std::uint64_t>(options_.election.count()));
-  election_ = now + options_.election + Span(extra);
+  // Without a leader to wait for, an attempt costs nothing: the vote before the vote disturbs nobody.
+  const Span least = leader_.empty() ? options_.beat / 2 : options_.election;
+  const auto extra = static_cast<std::int64_t>(draw_() % static_cast<std::uint64_t>(std::max(least, options_.beat * 2).count()));
+  election_ = now + least + Span(extra);
 }
 
 void Agreement::fail_all() {
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Span fetch_again{300};  // a body that did not come is asked for elsewhere
+constexpr Span eager_follow{50};  // until it is ready
 constexpr Span tombstone{60000};
 constexpr std::size_t most_steps = 64;
 
@@ -53,7 +54,7 @@
     if (now >= follow_due_) follow_all(now);
     handles.assign({hub_.handle()});
     for (const auto& [address, source] : sources_) handles.push_back(source.spoke->handle());
-    const Moment due = is_ready_ || !configuration_ ? follow_due_ : std::min(follow_due_, now + 100ms);
+    const Moment due = follow_due_;
     wait_links(handles, waker_, std::clamp(std::chrono::ceil<Span>(due - Clock::now()), Span(0), Span(1000)));
     now = Clock::now();
     for (auto& [address, source] : sources_)
@@ -75,7 +76,7 @@
 }
 
 void Follower::follow_all(Moment now) {
-  follow_due_ = now + startup_.follow;
+  follow_due_ = now + (is_ready_ ? startup_.follow : eager_follow);
   for (auto& [address, source] : sources_) follow_one(source, false);
   book_.forget_gone(now, tombstone);
 }
