--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -65,9 +65,9 @@
     socket_ = zmq::socket_t(context.context(), zmq::socket_type::dealer);
     prepare(socket_);
     socket_.set(zmq::sockopt::immediate, true);
-    socket_.set(zmq::sockopt::connect_timeout, 1000);
-    socket_.set(zmq::sockopt::reconnect_ivl, 100);
-    socket_.set(zmq::sockopt::reconnect_ivl_max, 400);
+    socket_.set(zmq::sockopt::connect_timeout, 200);
+    socket_.set(zmq::sockopt::reconnect_ivl, 50);
+    socket_.set(zmq::sockopt::reconnect_ivl_max, 100);
     socket_.connect("tcp://" + address.text());
   } catch (const zmq::error_t&) {
     // A spoke that could not be set up sends nothing; its node counts as silent.
