--- /dev/null
+++ b/tests/state_test.cpp
@@ -0,0 +1,167 @@
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "protocol/frames.h"
+#include "state/configuration.h"
+#include "state/startup.h"
+#include "state/store.h"
+
+using namespace saddlewing;
+
+namespace {
+
+class Folder {
+ public:
+  Folder() { path_ = ::mkdtemp(name_); }
+  ~Folder() { std::filesystem::remove_all(path_); }
+  const std::string& path() const { return path_; }
+
+ private:
+  char name_[32] = "/tmp/saddlewing-XXXXXX";
+  std::string path_;
+};
+
+Durable durable_of(std::uint64_t index, const std::string& body) {
+  auto entry = std::make_shared<Entry>();
+  entry->term = {3};
+  entry->index = {index};
+  entry->edition = {static_cast<std::int64_t>(index)};
+  entry->body = body;
+  entry->members = {{MemberId{5}, "10.0.0.1:7"}};
+  entry->core_size = 3;
+  return {MemberId{5}, Term{3}, MemberId{5}, entry};
+}
+
+const std::string services = R"("services":[{"name":"s","health_path":"/w","most_connections":5},{"name":"t"}])";
+
+std::string configuration(const std::string& rule, const std::string& rest = "") {
+  return R"({"version":7,"routes":[)" + rule + "]," + services + rest + "}";
+}
+
+std::string complaint(const std::string& body) {
+  ConfigurationCapture capture;
+  return read_configuration(body, capture).step;
+}
+
+}  // namespace
+
+Test(store, gives_back_what_was_saved_last) {
+  const Folder folder;
+  Store store(folder.path());
+  Durable found;
+  Fault why;
+  cr_expect(store.load(found, why) == Store::Found::nothing);
+  cr_assert(!store.save(durable_of(1, "one")));
+  cr_assert(!store.save(durable_of(2, std::string(200000, 'x'))));
+  cr_assert(store.load(found, why) == Store::Found::record);
+  cr_expect(found.entry->index.value == 2 && found.entry->body.size() == 200000 && found.self.value == 5);
+  cr_expect(found.entry->members == durable_of(2, "").entry->members);
+}
+
+// Each numbered point fails in turn: the save says so and the record before it stays whole.
+Test(store, a_failure_at_any_point_leaves_the_record_before) {
+  for (int point = 1; point <= 6; ++point) {
+    const Folder folder;
+    cr_assert(!Store(folder.path()).save(durable_of(1, "one")));
+    Store failing(folder.path(), [point](Store::Point at) { return static_cast<int>(at) == point; });
+    cr_expect(failing.save(durable_of(2, "two")), "point %d", point);
+    Durable found;
+    Fault why;
+    cr_assert(Store(folder.path()).load(found, why) == Store::Found::record);
+    const bool was_renamed = point == static_cast<int>(Store::Point::folder_sync);
+    cr_expect(found.entry->body == (was_renamed ? "two" : "one"), "point %d", point);
+  }
+}
+
+Test(store, a_damaged_record_is_never_served) {
+  const Folder folder;
+  cr_assert(!Store(folder.path()).save(durable_of(1, std::string(5000, 'q'))));
+  const std::string path = folder.path() + "/state.mdb";
+  std::string bytes;
+  {
+    std::ifstream file(path, std::ios::binary);
+    bytes.assign(std::istreambuf_iterator<char>(file), {});
+  }
+  const auto place = bytes.find("qqqq");
+  cr_assert(place != std::string::npos);
+  bytes[place + 100] = 'r';
+  std::ofstream(path, std::ios::binary) << bytes;
+  Durable found;
+  Fault why;
+  cr_expect(Store(folder.path()).load(found, why) == Store::Found::damaged);
+}
+
+Test(frames, one_cut_short_anywhere_is_dropped) {
+  Ballot ballot;
+  ballot.type = Ballot::Type::append;
+  ballot.entry = durable_of(4, "four").entry;
+  ballot.members = {{MemberId{1}, "a"}};
+  const std::string bytes = encode({FrameKind::ballot, LifeId{9}, "10.0.0.1:7"}, ballot);
+  const auto is_read = [](std::string_view frame) {
+    ByteReader reader(frame);
+    FrameHead head;
+    Ballot read;
+    return decode_head(reader, head) && head.kind == FrameKind::ballot && decode(reader, read) && read.entry->body == "four";
+  };
+  cr_expect(is_read(bytes));
+  cr_expect(!is_read(bytes + "x"));
+  for (std::size_t size = 0; size < bytes.size(); ++size) cr_expect(!is_read(std::string_view(bytes).substr(0, size)));
+}
+
+Test(configuration, a_proper_one_is_indexed) {
+  ConfigurationCapture capture;
+  const std::string body = configuration(
+      R"({"host":"H.example","path_start":"/a/","sort":"risky","give_up_ms":100,"service":"s"},)"
+      R"({"host":"h.example","path_start":"/a/b/","sort":"harmless","give_up_ms":100,"ask_all":["s","t"],"best_count":5,"fewest_parts":0.5,"tries":2})");
+  cr_assert(!read_configuration(body, capture));
+  cr_expect(capture->body == body);
+  cr_expect(capture->match("h.EXAMPLE:80", "/a/b/c") == &capture->rules[1]);
+  cr_expect(capture->match("h.example", "/a/x?/a/b/") == &capture->rules[0]);
+  cr_expect(capture->match("h.example", "/ax/") == nullptr);
+  cr_expect(capture->match("other", "/a/") == nullptr);
+}
+
+Test(configuration, what_is_wrong_is_named) {
+  const std::string good = R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":100,"service":"s"})";
+  const struct {
+    std::string body, complaint;
+  } rows[] = {
+      {configuration(good).substr(0, 60), "configuration is not proper JSON"},
+      {configuration(good) + "x", "configuration is not proper JSON"},
+      {configuration(good, R"(,"version":8)"), "configuration is not proper JSON"},
+      {R"([1])", "configuration is not an object"},
+      {configuration(good + "," + good), "routes[1].has the host and path_start of another"},
+      {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":100,"service":"u"})"), "routes[0].service names an unknown service"},
+      {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":0,"service":"s"})"), "routes[0].give_up_ms is out of range"},
+      {configuration(R"({"host":"h","path_start":"a/","sort":"harmless","give_up_ms":9,"service":"s"})"), "routes[0].path_start does not start and end with a slash"},
+      {configuration(R"({"host":"h","path_start":"/a/","sort":"odd","give_up_ms":9,"service":"s"})"), "routes[0].sort is neither harmless nor risky"},
+      {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":9})"), "routes[0].needs exactly one of service, shares, ask_all"},
+      {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":9,"service":"s","ask_all":["s"]})"), "routes[0].needs exactly one of service, shares, ask_all"},
+      {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":9,"shares":[{"service":"s","weight":0}]})"), "routes[0].shares has weights that sum to 0"},
+      {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":9,"ask_all":["s"],"best_count":0,"fewest_parts":1})"), "routes[0].best_count is out of range"},
+      {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":9,"ask_all":["s"],"best_count":1,"fewest_parts":0})"), "routes[0].fewest_parts is out of range"},
+      {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":9,"service":"s","tries":0})"), "routes[0].tries is out of range"},
+      {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":"9","service":"s"})"), "routes[0].give_up_ms is not a whole number"},
+  };
+  for (const auto& row : rows) cr_expect(complaint(row.body) == row.complaint, "%s: %s", row.body.c_str(), complaint(row.body).c_str());
+  cr_expect(complaint(configuration(good)).empty());
+  cr_expect(!complaint(std::string(100000, '[')).empty());
+}
+
+Test(startup, what_is_wrong_is_named) {
+  const std::string good = R"({"node_name":"n","ip_address":"10.0.0.1","zone":"z","first_contacts":["10.0.0.2:8"],"spare_ports":[7000,7010],
+    "listens_on":{"front":"10.0.0.1:80","ready_check":"10.0.0.1:81"},"unknown":{"x":1})";
+  Startup startup;
+  cr_assert(!check_startup(good + "}", false, startup));
+  cr_expect(startup.inner_port == 7000 && startup.contacts.size() == 1);
+  cr_expect(check_startup(good + "}", true, startup).step == "data_folder is missing");
+  cr_expect(check_startup(good + R"(,"time_bounds":{"retry_share":2}})", false, startup).step == "time_bounds.retry_share is out of range");
+  cr_expect(check_startup(good + R"(,"time_bounds":{"grace_s":"6"}})", false, startup).step == "time_bounds.grace_s is not a number");
+  cr_expect(check_startup(good + R"(,"options":{"hold_ms":100}})", false, startup).step == "options.hold_ms is under twice options.renewal_ms");
+  cr_expect(check_startup("{", false, startup).code == Kind::unreadable);
+  cr_expect(read_startup("/nowhere", false, startup).code == Kind::unreadable);
+}
