--- /dev/null
+++ b/tests/server_test.cpp
@@ -0,0 +1,76 @@
+#include <criterion/criterion.h>
+
+#include <thread>
+
+#include "transport/caller.h"
+#include "transport/server.h"
+
+using namespace saddlewing;
+
+namespace {
+
+// A server and a caller on one poller, over loopback, on a port found free.
+class Pair : public Server::Handler, public CallOwner {
+ public:
+  Pair() : server_(poller, schedule, *this, 16) {
+    for (int port = 20000; port < 60000 && !address.port; ++port)
+      if (!server_.open({"127.0.0.1", port})) address = {"127.0.0.1", port};
+    caller = std::make_unique<Caller>(poller, *this, address, 65536, 64u << 20);
+  }
+  void on_request(Visit& visit, Moment now) override {
+    paths.push_back(visit.request().getURI());
+    visit.answer({200, "OK", "Try-Id: " + visit.request().get("Try-Id", "") + "\r\n", body, false}, now);
+  }
+  void on_gone(Visit&) override {}
+  void on_outcome(Caller&, Moment) override { is_over = true; }
+  void on_breakdown(Caller&, Kind kind, Moment) override { is_over = true, breakdown = kind; }
+  void on_idle_end(Caller&) override {}
+  void run() {
+    for (int round = 0; round < 20000 && !is_over; ++round) {
+      poller.poll(Span(50));
+      server_.reap();
+    }
+  }
+
+  Poller poller;
+  Schedule schedule;
+  Address address;
+  std::unique_ptr<Caller> caller;
+  std::string body;
+  std::vector<std::string> paths;
+  bool is_over = false;
+  Kind breakdown = Kind::none;
+
+ private:
+  Server server_;
+};
+
+}  // namespace
+
+// POCO throws when a non-blocking socket has no room; that was once taken for the end of the connection.
+Test(server, an_answer_beyond_the_send_buffer_arrives_whole) {
+  Pair pair;
+  pair.body.assign(32u << 20, 'x');
+  cr_assert(pair.caller->ask("GET /big HTTP/1.1\r\nHost: a\r\n\r\n", false));
+  pair.run();
+  cr_expect(pair.breakdown == Kind::none);
+  cr_expect(pair.caller->reader().body().size() == pair.body.size());
+}
+
+Test(server, a_pipelined_request_is_answered_in_its_turn) {
+  Pair pair;
+  cr_assert(pair.caller->ask("GET /1 HTTP/1.1\r\nHost: a\r\nTry-Id: 1\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\nTry-Id: 2\r\n\r\n", false));
+  pair.run();
+  const std::vector<std::string> both{"/1", "/2"};
+  cr_expect(pair.paths == both);
+}
+
+// A surplus answer in the place of the next one is told by its id, and the connection is not used again.
+Test(caller, an_answer_to_another_request_is_passed_over) {
+  Pair pair;
+  cr_assert(pair.caller->ask("GET /1 HTTP/1.1\r\nHost: a\r\nTry-Id: 1\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\nTry-Id: 2\r\n\r\n", false, "2"));
+  pair.run();
+  cr_expect(pair.breakdown == Kind::none);
+  cr_expect(pair.caller->reader().response().get("Try-Id") == "2");
+  cr_expect(pair.caller->state() == Caller::State::ended);
+}
