--- a/src/transport/channel.cpp
+++ b/src/transport/channel.cpp
@@ -81,7 +81,7 @@
 Fault Listener::open(const Address& address) {
   try {
     Poco::Net::ServerSocket socket;
-    socket.bind(SocketAddress(address.host, static_cast<Poco::UInt16>(address.port)), true);
+    socket.bind(SocketAddress(address.host, static_cast<Poco::UInt16>(address.port)), true, false);
     socket.listen(512);
     socket.setBlocking(false);
     socket_ = socket;
