--- /dev/null
+++ b/src/coordination/aid.cpp
@@ -0,0 +1,80 @@
+#include "coordination/aid.h"
+
+#include <cmath>
+
+namespace saddlewing {
+
+// Stragglers do not hold the others back for longer than parts usually take.
+AidWork::AidWork(Ground& ground, std::uint64_t token, std::vector<Candidates> parts, std::size_t best_count, Span flush_after,
+                 Span time_left, Moment now)
+    : ground_(ground), token_(token), candidates_(std::move(parts)), parts_(candidates_.size()), best_count_(best_count),
+      cutoff_(now + time_left), best_(best_count) {
+  const Pace& pace = ground_.aid_pace(best_count);
+  const Span usual = pace.mean_ms == 0 ? flush_after / 2 : Span(static_cast<std::int64_t>(std::ceil(pace.mean_ms + 3 * pace.deviation_ms)));
+  flush_at_ = now + std::min(std::clamp(usual, Span(5), std::max(flush_after, Span(5))), time_left);
+}
+
+void AidWork::start(Moment now) {
+  for (std::size_t index = 0; index < parts_.size() && is_open(); ++index) ask(index, now);
+}
+
+void AidWork::ask(std::size_t index, Moment now) {
+  Part& part = parts_[index];
+  const Candidates& candidates = candidates_[index];
+  for (;;) {
+    const PickResult picked = ground_.pick(candidates.backends, part.tried, candidates.most_connections, now);
+    if (!picked.backend) {
+      next_.failed.push_back({index, static_cast<std::uint64_t>(Kind::nobody_up), false});
+      return settle(index, now);
+    }
+    part.tried.push_back(picked.backend);
+    if (ground_.ask(*this, index, *picked.backend, now)) return;
+  }
+}
+
+void AidWork::take_outcome(std::size_t index, BackendOutcome outcome, Span took, Moment now) {
+  if (!is_open() || parts_[index].is_settled) return;
+  const bool is_success = outcome.status >= 200 && outcome.status < 300 && !outcome.is_not_run;
+  if (is_success) {
+    next_.done.push_back({index, std::move(outcome.seal)});
+    best_.add(outcome.body);
+    ground_.aid_pace(best_count_).see(static_cast<double>(took.count()));
+  } else {
+    next_.failed.push_back({index, static_cast<std::uint64_t>(outcome.is_not_run ? Kind::turned_away : Kind::garbled), true});
+  }
+  settle(index, now);
+}
+
+void AidWork::take_breakdown(std::size_t index, Kind kind, bool may_have_run, Moment now) {
+  if (!is_open() || parts_[index].is_settled) return;
+  if (!may_have_run) return ask(index, now);  // nobody was reached, so another one is no further try
+  next_.failed.push_back({index, static_cast<std::uint64_t>(kind), true});
+  settle(index, now);
+}
+
+void AidWork::settle(std::size_t index, Moment now) {
+  parts_[index].is_settled = true;
+  if (++settled_ == parts_.size() || has_flushed_) flush(now);
+}
+
+void AidWork::flush(Moment now) {
+  has_flushed_ = true;
+  is_closed_ = settled_ == parts_.size();
+  Aided aided = std::move(next_);
+  next_ = {};
+  aided.token = token_;
+  aided.records = best_.take();
+  best_ = BestRecords(best_count_);
+  ground_.send_aided(*this, std::move(aided), now);
+}
+
+void AidWork::on_due(Moment now) {
+  if (!is_open()) return;
+  if (now >= cutoff_) {
+    is_closed_ = true;
+    return;
+  }
+  if (!has_flushed_ && now >= flush_at_) flush(now);
+}
+
+}  // namespace saddlewing
--- a/src/coordination/errand.cpp
+++ b/src/coordination/errand.cpp
@@ -20,7 +20,7 @@
 
 void Errand::start(Moment now) {
   if (is_gathering()) {
-    for (const ServiceIndex shard : rule_.shards) parts_.push_back({shard, {}, 0, 0, 0, false, false, {}, {}});
+    for (const ServiceIndex shard : rule_.shards) parts_.emplace_back().service = shard;
   } else {
     double left = ground_.draw() * rule_.weight_sum;
     ServiceIndex chosen = rule_.shares.back().service;
@@ -28,7 +28,7 @@
       if (share.weight > 0) chosen = share.service;
       if ((left -= share.weight) < 0) break;
     }
-    parts_.push_back({chosen, {}, 0, 0, 0, false, false, {}, {}});
+    parts_.emplace_back().service = chosen;
   }
   for (const Part& part : parts_) ground_.budget(table_->configuration->services[part.service.value].name).count_request(now);
   // A shard without any backend decides the outcome before anything runs.
@@ -45,7 +45,9 @@
     return finish_failed(now);
   }
   state_ = State::asking;
-  for (std::size_t index = 0; index < parts_.size() && is_open(); ++index) ask(index, false, now);
+  if (is_gathering()) start_aid(now);
+  for (std::size_t index = 0; index < parts_.size() && is_open(); ++index)
+    if (!parts_[index].is_aided) ask(index, false, now);
   if (is_open()) consider(now);
 }
 
@@ -154,9 +156,10 @@
   }
   if (state_ == State::holding) state_ = State::asking;
   const Span delay = further_delay();
+  if (is_aid_awaited_) give_up_aid(now);
   for (std::size_t index = 0; index < parts_.size() && is_open(); ++index) {
     Part& part = parts_[index];
-    if (part.is_done || part.is_failed) continue;
+    if (part.is_done || part.is_failed || (part.is_aided && is_aid_awaited_)) continue;
     if (!part.active) ask(index, false, now);
     else if (rule_.is_harmless && part.active == 1 && now - part.asked >= delay && may_ask_again(part)) ask(index, true, now);
   }
--- a/src/coordination/errand.h
+++ b/src/coordination/errand.h
@@ -7,20 +7,13 @@
 #include <string>
 #include <vector>
 
-#include "coordination/backend.h"
+#include "coordination/asker.h"
 #include "coordination/budget.h"
 #include "coordination/merge.h"
-#include "state/error.h"
+#include "protocol/frames.h"
 
 namespace saddlewing {
 
-// What a backend said, as far as an errand needs it.
-struct BackendOutcome {
-  int status = 0;
-  bool is_not_run = false;
-  std::string reason, fields, seal, body;
-};
-
 struct FinalAnswer {
   Kind kind = Kind::none;   // other than none: an answer of our own
   int status = 200;
@@ -28,35 +21,20 @@
   Span retry_after{0};
 };
 
-// How long a rule's parts take, for the moment at which a further asking pays.
-struct Pace {
-  double mean_ms = 0, deviation_ms = 0;
-  void see(double milliseconds) {
-    if (mean_ms == 0) {
-      mean_ms = milliseconds;
-      deviation_ms = milliseconds / 2;
-      return;
-    }
-    const double off = milliseconds - mean_ms;
-    mean_ms += off * 0.05;
-    deviation_ms += ((off < 0 ? -off : off) - deviation_ms) * 0.05;
-  }
-};
-
-class Errand {
+class Errand final : public Asker {
  public:
   enum class State { matching, holding, asking, gathering, answering, closed };
 
   // Where an errand acts.
-  class Ground {
+  class Ground : public virtual AskGround {
    public:
-    virtual ~Ground() = default;
-    virtual bool ask(Errand& errand, std::size_t part, Backend& backend, Moment now) = 0;  // false: not even begun
     virtual void answer(Errand& errand, FinalAnswer answer, Moment now) = 0;
     virtual Budget& budget(const std::string& service) = 0;
     virtual double reserve(Moment now) = 0;
-    virtual PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried,
-                            int most_connections, Moment now) = 0;  // most_connections: of all callers together
+    // Has another broker, near the backends, gather such of these parts as have none near this one. Gives the parts
+    // taken; none where no such broker is known.
+    virtual std::vector<std::size_t> call_aid(Errand& errand, Span flush_after, Moment now) = 0;
+    virtual void miss_aid(Errand& errand, Moment now) = 0;  // no frame came in time
     virtual Pace& pace(const Rule& rule) = 0;
     virtual double draw() = 0;  // in [0, 1)
   };
@@ -64,17 +42,19 @@
   Errand(Ground& ground, TableCapture table, const Rule& rule, Moment began, Span time_left);
 
   void start(Moment now);
-  void on_due(Moment now);
-  void take_outcome(std::size_t part, BackendOutcome outcome, Span took, Moment now);
-  void take_breakdown(std::size_t part, Kind kind, bool may_have_run, Moment now);
+  void on_due(Moment now) override;
+  void take_outcome(std::size_t part, BackendOutcome outcome, Span took, Moment now) override;
+  void take_breakdown(std::size_t part, Kind kind, bool may_have_run, Moment now) override;
+  void take_aided(Aided aided, Span took, Moment now);
+  void lose_aid(bool may_have_run, Moment now);  // nothing more comes of it
   void abandon() { state_ = State::closed; }  // the client left
 
   State state() const { return state_; }
-  bool is_open() const { return state_ != State::closed; }
-  Moment next_due() const { return due_; }
-  Moment cutoff() const { return cutoff_; }
+  bool is_open() const override { return state_ != State::closed; }
+  Moment next_due() const override { return due_; }
+  Moment cutoff() const override { return cutoff_; }
   const Rule& rule() const { return rule_; }
-  bool is_gathering() const { return !rule_.shards.empty(); }
+  bool is_gathering() const override { return !rule_.shards.empty(); }
   const Table& table() const { return *table_; }
 
  private:
@@ -85,6 +65,7 @@
     int sent = 0;        // askings that may have reached a backend
     int missed = 0;      // askings that reached nobody
     bool is_done = false, is_failed = false;
+    bool is_aided = false;  // another broker is at it
     Moment asked{};
     std::string seal;
   };
@@ -96,6 +77,8 @@
   void finish(FinalAnswer answer, Moment now);
   void finish_failed(Moment now);
   void plan(Moment now);
+  void start_aid(Moment now);
+  void give_up_aid(Moment now);
   Span further_delay() const;
 
   Ground& ground_;
@@ -107,6 +90,9 @@
   std::vector<Part> parts_;
   BestRecords best_;
   std::size_t done_ = 0, failed_ = 0;
+  // Invariant: until the first frame of the aid came, or the aid was lost, none of its parts is asked directly: a
+  // frame merges parts, and a part that is in already would count twice.
+  bool is_aid_awaited_ = false;
   bool has_run_ = false;               // something may have run
   Kind worst_ = Kind::none;            // why parts failed
   std::unique_ptr<BackendOutcome> last_;  // a backend's own failure, kept to be passed on
--- a/src/programs/broker_program.cpp
+++ b/src/programs/broker_program.cpp
@@ -20,7 +20,9 @@
   std::random_device device;
   const LifeId life{(static_cast<std::uint64_t>(device()) << 32) | device() | 1u};
   Traffic traffic(startup, life);
-  Follower follower(startup, life, [&traffic](ViewCapture view) { traffic.show(std::move(view)); });
+  Follower follower(startup, life, [&traffic](ViewCapture view) { traffic.show(std::move(view)); },
+                    [&traffic](AidEvent event) { traffic.tell(std::move(event)); });
+  traffic.set_sender([&follower](AidOut out) { return follower.send(std::move(out)); });
   for (const Fault& found : {follower.open(), traffic.open()})
     if (found) {
       LOG(ERROR) << "startup: " << found.text();
@@ -40,6 +42,7 @@
     LOG(INFO) << "startup: read again";
     follower.set_contacts(changed.contacts);
   }
+  follower.set_leaving();
   traffic.leave();
   traffic.join();
   follower.stop();
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -42,7 +42,8 @@
     Moment cutoff;
   };
   struct Broker {
-    std::string route, from;
+    std::string route, from, region;
+    bool is_ready = false;
     Edition held;
     std::uint64_t sent_mark = 0;
     Moment heard;
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -83,6 +83,8 @@
   beat.brokers = brokers_.size();
   beat.registries = agreement_.known_addresses();
   beat.registries.push_back(address_);
+  for (const auto& [from, broker] : brokers_)
+    if (broker.is_ready) beat.seats.push_back({from, broker.region});
   hub_.send(route, encode(head(), beat));
 }
 
@@ -91,6 +93,8 @@
   if (broker.held < follow.edition) LOG(INFO) << "registry: broker " << from.from << " holds edition " << follow.edition.value;
   broker.route = route;
   broker.from = from.from;
+  broker.region = follow.region;
+  broker.is_ready = follow.is_ready;
   broker.held = follow.edition;
   broker.heard = now;
   broker.sent_mark = follow.roster_life == life_.value ? follow.roster_mark : 0;
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -14,9 +14,9 @@
 
 }  // namespace
 
-Follower::Follower(const Startup& startup, LifeId life, std::function<void(ViewCapture)> show)
+Follower::Follower(const Startup& startup, LifeId life, std::function<void(ViewCapture)> show, std::function<void(AidEvent)> tell)
     : startup_(startup), life_(life), address_(Address{startup.ip_address, startup.inner_port}.text()), show_(std::move(show)),
-      contacts_(4, [this] { waker_.wake(); }), born_(Clock::now()) {
+      tell_(std::move(tell)), contacts_(4, [this] { waker_.wake(); }), outs_(1024, [this] { waker_.wake(); }), born_(Clock::now()) {
   contacts_.push(startup.contacts);
 }
 
@@ -54,6 +54,7 @@
     if (now >= follow_due_) follow_all(now);
     handles.assign({hub_.handle()});
     for (const auto& [address, source] : sources_) handles.push_back(source.spoke->handle());
+    for (const auto& [address, spoke] : aides_) handles.push_back(spoke->handle());
     const Moment due = follow_due_;
     wait_links(handles, waker_, std::clamp(std::chrono::ceil<Span>(due - Clock::now()), Span(0), Span(1000)));
     now = Clock::now();
@@ -63,7 +64,8 @@
         if (!parcel) break;
         take(address, *parcel, now);
       }
-    answer_traces(now);
+    take_hub(now);
+    send_aids();
     fetch(now);
     check_ready(now);
     if (has_news_) publish();
@@ -72,7 +74,8 @@
 
 void Follower::follow_one(Source& source, bool wants_body) {
   const Edition held = configuration_ ? configuration_->edition : Edition{};
-  source.spoke->send(encode({FrameKind::follow, life_, address_}, Follow{held, source.life, source.mark, wants_body}));
+  source.spoke->send(encode({FrameKind::follow, life_, address_}, 
+                           Follow{held, source.life, source.mark, wants_body, startup_.region, is_ready_ && !is_leaving_}));
 }
 
 void Follower::follow_all(Moment now) {
@@ -113,6 +116,16 @@
   source.is_filled = beat.is_filled;
   if (beat.is_confirmed) {
     registries_ = beat.registries;
+    std::vector<BrokerSeat> seats;
+    for (const BrokerSeat& seat : beat.seats)
+      if (seat.region != startup_.region) seats.push_back(seat);
+    if (seats != seats_) {
+      seats_ = std::move(seats);
+      has_news_ = true;
+      std::erase_if(aides_, [&](const auto& aide) {
+        return std::none_of(seats_.begin(), seats_.end(), [&](const BrokerSeat& seat) { return seat.address == aide.first; });
+      });
+    }
     if (beat.brokers != brokers_) {
       brokers_ = std::max<std::uint64_t>(1, beat.brokers);
       has_news_ = true;
@@ -182,6 +195,7 @@
   view->configuration = configuration_;
   view->is_ready = is_ready_;
   view->brokers = brokers_;
+  view->seats = seats_;
   const Moment now = Clock::now();
   for (const auto& [id, line] : book_.lines()) {
     if (line.entry.phase == Phase::gone) continue;
@@ -193,11 +207,19 @@
     steps_.push_back({configuration_->edition, "in force", now});
 }
 
-void Follower::answer_traces(Moment now) {
-  while (const auto parcel = hub_.receive()) {
+void Follower::take_hub(Moment now) {
+  for (int count = 0; count < 512; ++count) {
+    auto parcel = hub_.receive();
+    if (!parcel) return;
     ByteReader reader(parcel->bytes);
     FrameHead head;
-    if (!decode_head(reader, head) || head.kind != FrameKind::trace) continue;
+    if (!decode_head(reader, head)) continue;
+    if (head.kind == FrameKind::aid) {
+      AidIn in{std::move(parcel->route), {}};
+      if (decode(reader, in.aid)) tell_(std::move(in));
+      continue;
+    }
+    if (head.kind != FrameKind::trace) continue;
     Traced traced;
     traced.node = startup_.node_name;
     traced.role = "broker";
@@ -209,4 +231,27 @@
   }
 }
 
+// Aids to other brokers, and outcomes of theirs. A spoke set up just now drops its first frame: that aid is lost.
+void Follower::send_aids() {
+  for (AidOut& out : outs_.take()) {
+    if (!out.token) {
+      hub_.send(out.to, out.bytes);
+      continue;
+    }
+    auto& spoke = aides_[out.to];
+    Address parsed;
+    if (!spoke && parse_address(out.to, parsed)) spoke = std::make_unique<Spoke>(context_, parsed);
+    if (!spoke || !spoke->send(out.bytes)) tell_(AidLost{out.token});
+  }
+  for (const auto& [address, spoke] : aides_)
+    for (int count = 0; count < 256; ++count) {
+      const auto parcel = spoke->receive();
+      if (!parcel) break;
+      ByteReader reader(parcel->bytes);
+      FrameHead head;
+      AidedIn in;
+      if (decode_head(reader, head) && head.kind == FrameKind::aided && decode(reader, in.aided)) tell_(std::move(in));
+    }
+}
+
 }  // namespace saddlewing
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <variant>
 #include <vector>
 
 #include "coordination/registry.h"
@@ -22,15 +23,37 @@
   std::vector<RosterEntry> backends;  // those that are ready or emptying
   bool is_ready = false;              // once true it stays so for this life
   std::uint64_t brokers = 1;
+  std::vector<BrokerSeat> seats;      // ready brokers of other regions
 };
 using ViewCapture = std::shared_ptr<const View>;
 
+// Frames between brokers, handed over by the traffic thread.
+struct AidOut {
+  std::string to;           // inner address for an aid, route for its outcome
+  std::uint64_t token = 0;  // of an aid; 0 with an outcome
+  std::string bytes;
+};
+// And handed to it.
+struct AidIn {
+  std::string route;  // whom to answer
+  Aid aid;
+};
+struct AidedIn {
+  Aided aided;
+};
+struct AidLost {  // it did not leave
+  std::uint64_t token = 0;
+};
+using AidEvent = std::variant<AidIn, AidedIn, AidLost>;
+
 class Follower {
  public:
-  Follower(const Startup& startup, LifeId life, std::function<void(ViewCapture)> show);
+  Follower(const Startup& startup, LifeId life, std::function<void(ViewCapture)> show, std::function<void(AidEvent)> tell);
   Fault open();
   void start();
   void stop();
+  bool send(AidOut out) { return outs_.push(std::move(out)); }
+  void set_leaving() { is_leaving_ = true; }
   void set_contacts(const std::vector<Address>& contacts) {
     contacts_.push(contacts);
   }
@@ -54,16 +77,21 @@
   void fetch(Moment now);
   void check_ready(Moment now);
   void publish();
-  void answer_traces(Moment now);
+  void take_hub(Moment now);
+  void send_aids();
 
   const Startup startup_;
   const LifeId life_;
   const std::string address_;
   std::function<void(ViewCapture)> show_;
+  std::function<void(AidEvent)> tell_;
   LinkContext context_;
   Hub hub_;
   Waker waker_;
   Ring<std::vector<Address>> contacts_;
+  Ring<AidOut> outs_;
+  std::map<std::string, std::unique_ptr<Spoke>> aides_;  // brokers asked for aid, by inner address
+  std::vector<BrokerSeat> seats_;
   std::map<std::string, Source> sources_;  // by inner address
   std::vector<std::string> seeds_, registries_;
   RosterBook book_;
@@ -77,7 +105,7 @@
     Moment when;
   };
   std::deque<Stamped> steps_;
-  std::atomic<bool> should_stop_ = false;
+  std::atomic<bool> should_stop_ = false, is_leaving_ = false;
   std::thread thread_;
 };
 
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -47,7 +47,9 @@
 }  // namespace
 
 void Trip::on_due(Moment now) {
-  errand->on_due(now);
+  const auto kept = traffic.trips_.find(asker.get());
+  const TripPointer self = kept != traffic.trips_.end() ? kept->second : nullptr;
+  asker->on_due(now);
   traffic.arrange(*this);
 }
 
@@ -55,7 +57,7 @@
     : startup_(startup), server_(poller_, schedule_, *this, static_cast<std::size_t>(startup.file_handles) / 3), readiness_(*this),
       ready_server_(poller_, schedule_, readiness_, 64), views_(64, [this] { poller_.wake(); }),
       reserve_(startup.extra_tries, startup.retry_span, Clock::now()), picker_({startup.locality, startup.region}, life.value),
-      draw_(static_cast<std::uint32_t>(life.value)) {}
+      draw_(static_cast<std::uint32_t>(life.value)), aid_events_(4096, [this] { poller_.wake(); }), life_(life) {}
 
 Fault Traffic::open() {
   if (Fault found = ready_server_.open(startup_.ready_check)) return found;
@@ -70,6 +72,7 @@
     const Moment now = Clock::now();
     auto views = views_.take();
     if (!views.empty()) take_view(std::move(views.back()), now);
+    for (AidEvent& event : aid_events_.take()) take_aid_event(event, now);
     schedule_.run(now);
     server_.reap();
     ready_server_.reap();
@@ -124,15 +127,17 @@
     idle_.erase(backend.get());
   }
   backends_ = std::move(kept);
+  by_name_.clear();
+  for (const auto& [id, backend] : backends_)
+    if (!backend->is_cancelled) by_name_[backend->service].push_back(backend);
   if (!view_->configuration) return;
   auto table = std::make_shared<Table>();
   table->configuration = view_->configuration;
   std::unordered_map<std::string, std::size_t> indices;
   for (const Service& service : table->configuration->services) indices[service.name] = indices.size();
   table->by_service.resize(indices.size());
-  for (const auto& [id, backend] : backends_)
-    if (const auto found = indices.find(backend->service); found != indices.end() && !backend->is_cancelled)
-      table->by_service[found->second].push_back(backend);
+  for (const auto& [name, backends] : by_name_)
+    if (const auto found = indices.find(name); found != indices.end()) table->by_service[found->second] = backends;
   table_ = std::move(table);
   const Limits& limits = table_->configuration->limits;
   server_.set_limits({limits.most_header_bytes, limits.most_body_bytes, limits.header_wait, limits.quiet});
@@ -154,37 +159,53 @@
   trip->head_start = start_head(request, visit.body().size());
   trip->body = std::move(visit.body());
   const Span time_left = parse_time_left(request.get(field::time_left, ""), rule->give_up);
-  trip->errand = std::make_unique<Errand>(*this, table_, *rule, visit.began(), time_left);
-  trips_[trip->errand.get()] = trip;
-  by_visit_[visit.id()] = trip->errand.get();
+  auto errand = std::make_unique<Errand>(*this, table_, *rule, visit.began(), time_left);
+  trip->errand = errand.get();
+  trip->asker = std::move(errand);
+  trips_[trip->errand] = trip;
+  by_visit_[visit.id()] = trip->errand;
   trip->errand->start(now);
   arrange(*trip);
 }
 
 void Traffic::arrange(Trip& trip) {
-  if (trip.errand->is_open()) schedule_.set(trip, trip.errand->next_due());
-  else schedule_.drop(trip);
+  if (trip.asker->is_open()) return schedule_.set(trip, trip.asker->next_due());
+  schedule_.drop(trip);
+  end_trip(trip.asker.get());
 }
 
 void Traffic::on_gone(Visit& visit) {
   const auto found = by_visit_.find(visit.id());
   if (found == by_visit_.end()) return;
-  const auto trip = trips_.find(found->second);
+  Errand* errand = found->second;
   by_visit_.erase(found);
-  if (trip == trips_.end()) return;
-  trip->second->errand->abandon();
-  schedule_.drop(*trip->second);
-  ended_trips_.push_back(std::move(trip->second));
-  trips_.erase(trip);
+  errand->abandon();
+  end_trip(errand);
+}
+
+// Wires may still hold the trip; it is freed between rounds at the earliest.
+void Traffic::end_trip(const Asker* asker) {
+  const auto found = trips_.find(asker);
+  if (found == trips_.end()) return;
+  schedule_.drop(*found->second);
+  ended_trips_.push_back(std::move(found->second));
+  trips_.erase(found);
+  if (const auto token = aid_tokens_.find(asker); token != aid_tokens_.end()) {
+    if (const auto call = aid_calls_.find(token->second); call != aid_calls_.end()) {
+      --aides_[call->second.to].under_way;
+      aid_calls_.erase(call);
+    }
+    aid_tokens_.erase(token);
+  }
 }
 
 std::string Traffic::head_for(const Trip& trip, const Backend& backend, Moment now) const {
-  const auto left = std::max<std::int64_t>(1, span_between(now, trip.errand->cutoff()).count());
+  const auto left = std::max<std::int64_t>(1, span_between(now, trip.asker->cutoff()).count());
   return trip.head_start + field::time_left + ": " + std::to_string(left) + "\r\n" + field::meant_server + ": " + backend.id + "\r\n\r\n";
 }
 
-bool Traffic::ask(Errand& errand, std::size_t part, Backend& backend, Moment now) {
-  const auto trip = trips_.find(&errand);
+bool Traffic::ask(Asker& asker, std::size_t part, Backend& backend, Moment now) {
+  const auto trip = trips_.find(&asker);
   const auto pointer = backends_.find(backend.id);
   if (trip == trips_.end() || pointer == backends_.end() || pointer->second.get() != &backend) return false;
   auto& idle = idle_[&backend];
@@ -206,10 +227,8 @@
 void Traffic::answer(Errand& errand, FinalAnswer answer, Moment now) {
   const auto found = trips_.find(&errand);
   if (found == trips_.end()) return;
-  const TripPointer trip = std::move(found->second);
-  trips_.erase(found);
-  schedule_.drop(*trip);
-  ended_trips_.push_back(trip);
+  const TripPointer trip = found->second;
+  end_trip(&errand);
   by_visit_.erase(trip->visit);
   Visit* visit = server_.find(trip->visit);
   if (!visit) return;
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "coordination/aid.h"
 #include "coordination/errand.h"
 #include "programs/follower.h"
 #include "transport/caller.h"
@@ -17,12 +18,14 @@
 
 class Traffic;
 
-// An errand under way, with the visit it answers.
+// An asker under way: an errand with the visit it answers, or the aid given to another broker.
 struct Trip final : Scheduled {
   Trip(Traffic& traffic, VisitId visit) : traffic(traffic), visit(visit) {}
   Traffic& traffic;
   VisitId visit;
-  std::unique_ptr<Errand> errand;
+  std::string route;  // of an aid: whom to answer
+  std::unique_ptr<Asker> asker;
+  Errand* errand = nullptr;  // the asker of a visit
   std::string method, try_id, head_start, body;  // head_start: the request's head but for what differs by backend
   void on_due(Moment now) override;
 };
@@ -56,12 +59,14 @@
   bool is_connect_checked_ = false;
 };
 
-class Traffic final : public Server::Handler, public Errand::Ground {
+class Traffic final : public Server::Handler, public Errand::Ground, public AidWork::Ground {
  public:
   Traffic(const Startup& startup, LifeId life);
   Fault open();
   void start();
   void show(ViewCapture view) { views_.push(std::move(view)); }
+  void tell(AidEvent event) { aid_events_.push(std::move(event)); }
+  void set_sender(std::function<bool(AidOut)> send) { send_ = std::move(send); }
   void leave() {
     should_leave_ = true;
     poller_.wake();
@@ -72,7 +77,11 @@
 
   void on_request(Visit& visit, Moment now) override;
   void on_gone(Visit& visit) override;
-  bool ask(Errand& errand, std::size_t part, Backend& backend, Moment now) override;
+  bool ask(Asker& asker, std::size_t part, Backend& backend, Moment now) override;
+  std::vector<std::size_t> call_aid(Errand& errand, Span flush_after, Moment now) override;
+  void miss_aid(Errand& errand, Moment now) override;
+  void send_aided(AidWork& work, Aided aided, Moment now) override;
+  Pace& aid_pace(std::size_t best_count) override { return aid_paces_[best_count]; }
   void answer(Errand& errand, FinalAnswer answer, Moment now) override;
   Budget& budget(const std::string& service) override;
   double reserve(Moment now) override { return reserve_.part(now); }
@@ -95,6 +104,10 @@
   };
   void run();
   void take_view(ViewCapture view, Moment now);
+  void take_aid_event(AidEvent& event, Moment now);
+  void take_aid(AidIn& in, Moment now);
+  bool is_near(const Backend& backend, const std::string& region, Moment now) const;
+  void end_trip(const Asker* asker);
   void arrange(Trip& trip);
   std::string head_for(const Trip& trip, const Backend& backend, Moment now) const;
   bool is_ready() const { return view_ && view_->is_ready && !is_leaving_; }
@@ -116,7 +129,29 @@
   Reserve reserve_;
   Picker picker_;
   std::minstd_rand draw_;
-  std::unordered_map<const Errand*, TripPointer> trips_;
+  std::unordered_map<const Asker*, TripPointer> trips_;
+  std::unordered_map<std::string, std::vector<BackendPointer>> by_name_;  // by service, named by a rule or not
+
+  // Aid by brokers of other regions.
+  struct Aide {
+    double mean_ms = 0;
+    int under_way = 0;
+    Breaker breaker;
+  };
+  struct AidCall {
+    const Asker* asker;
+    std::string to;
+    Moment asked;
+    std::vector<std::size_t> parts;  // their places in the errand
+  };
+  Ring<AidEvent> aid_events_;
+  std::function<bool(AidOut)> send_;
+  std::unordered_map<std::string, Aide> aides_;              // by inner address
+  std::unordered_map<std::uint64_t, AidCall> aid_calls_;     // by token
+  std::unordered_map<const Asker*, std::uint64_t> aid_tokens_;
+  std::unordered_map<std::size_t, Pace> aid_paces_;          // by best_count
+  std::uint64_t last_aid_ = 0;
+  const LifeId life_;
   std::unordered_map<VisitId, Errand*> by_visit_;
   std::unordered_map<const Backend*, std::vector<Wire*>> idle_;
   std::unordered_map<Wire*, std::unique_ptr<Wire>> wires_;
--- a/src/programs/wire.cpp
+++ b/src/programs/wire.cpp
@@ -66,9 +66,10 @@
     const std::size_t part = part_;
     caller_.end();
     traffic_.bury(this);
-    return trip->errand->take_breakdown(part, Kind::silent, false, now);
+    trip->asker->take_breakdown(part, Kind::silent, false, now);
+    return traffic_.arrange(*trip);
   }
-  const Moment last = trip_->errand->cutoff() + past_cutoff;
+  const Moment last = trip_->asker->cutoff() + past_cutoff;
   if (now < last) {
     if (now - asked_ >= stalled_least) backend_->breaker.fail(now, false);
     traffic_.schedule_.set(*this, now - asked_ >= stalled_least ? last : std::min(last, asked_ + stalled_least));
@@ -77,7 +78,8 @@
   const TripPointer trip = release();
   caller_.end();
   traffic_.bury(this);
-  trip->errand->take_breakdown(part_, Kind::silent, true, now);
+  trip->asker->take_breakdown(part_, Kind::silent, true, now);
+  traffic_.arrange(*trip);
 }
 
 void Wire::read_load(const Poco::Net::HTTPResponse& response, Moment now) {
@@ -110,7 +112,7 @@
     backend_->breaker.succeed();
     if (is_success) backend_->see_outcome(static_cast<double>(took.count()));
   }
-  if (!trip_->errand->is_gathering()) {
+  if (!trip_->asker->is_gathering()) {
     outcome.reason = response.getReason();
     for (const auto& [name, value] : response)
       if (!is_hop_field(name)) ((outcome.fields += name) += ": ") += value + "\r\n";
@@ -125,7 +127,8 @@
     traffic_.idle_[backend_.get()].push_back(this);
     traffic_.schedule_.set(*this, now + idle);
   }
-  trip->errand->take_outcome(part, std::move(outcome), took, now);
+  trip->asker->take_outcome(part, std::move(outcome), took, now);
+  traffic_.arrange(*trip);
 }
 
 void Wire::on_breakdown(Caller& caller, Kind kind, Moment now) {
@@ -135,7 +138,8 @@
   const std::size_t part = part_;
   const TripPointer trip = release();
   traffic_.bury(this);
-  trip->errand->take_breakdown(part, kind, may_have_run, now);
+  trip->asker->take_breakdown(part, kind, may_have_run, now);
+  traffic_.arrange(*trip);
 }
 
 void Wire::on_idle_end(Caller&) { traffic_.bury(this); }
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -107,6 +107,7 @@
 std::string encode(const FrameHead& head, const Follow& value) {
   Writer writer = open_frame(head, FrameKind::follow);
   writer.number(value.edition.value).number(value.roster_life).number(value.roster_mark).number(value.wants_body);
+  writer.text(value.region).number(value.is_ready);
   return writer.take();
 }
 
@@ -115,6 +116,8 @@
   value.roster_life = reader.number();
   value.roster_mark = reader.number();
   value.wants_body = reader.number();
+  value.region = reader.text();
+  value.is_ready = reader.number();
   return reader.is_whole();
 }
 
@@ -122,6 +125,8 @@
   Writer writer = open_frame(head, FrameKind::beat);
   writer.number(value.edition.value).number(value.is_confirmed).number(value.is_filled).number(value.brokers);
   write_texts(writer, value.registries);
+  writer.number(value.seats.size());
+  for (const BrokerSeat& seat : value.seats) writer.text(seat.address).text(seat.region);
   return writer.take();
 }
 
@@ -131,6 +136,11 @@
   value.is_filled = reader.number();
   value.brokers = reader.number();
   read_texts(reader, value.registries);
+  value.seats.resize(reader.count(16));
+  for (BrokerSeat& seat : value.seats) {
+    seat.address = reader.text();
+    seat.region = reader.text();
+  }
   return reader.is_whole();
 }
 
@@ -207,10 +217,58 @@
   return reader.is_whole();
 }
 
+std::string encode(const FrameHead& head, const Aid& value) {
+  Writer writer = open_frame(head, FrameKind::aid);
+  writer.number(value.token).text(value.method).text(value.try_id).text(value.head_start).text(value.body);
+  write_texts(writer, value.services);
+  writer.number(value.best_count).number(value.time_left).number(value.flush_after);
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, Aid& value) {
+  value.token = reader.number();
+  value.method = reader.text();
+  value.try_id = reader.text();
+  value.head_start = reader.text();
+  value.body = reader.text();
+  read_texts(reader, value.services);
+  value.best_count = reader.number();
+  value.time_left = reader.number();
+  value.flush_after = reader.number();
+  return reader.is_whole();
+}
+
+std::string encode(const FrameHead& head, const Aided& value) {
+  Writer writer = open_frame(head, FrameKind::aided);
+  writer.number(value.token).number(value.done.size());
+  for (const Aided::Done& done : value.done) writer.number(done.part).text(done.seal);
+  writer.number(value.failed.size());
+  for (const Aided::Failed& failed : value.failed) writer.number(failed.part).number(failed.kind).number(failed.may_have_run);
+  writer.text(value.records);
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, Aided& value) {
+  value.token = reader.number();
+  value.done.resize(reader.count(16));
+  for (Aided::Done& done : value.done) {
+    done.part = reader.number();
+    done.seal = reader.text();
+  }
+  value.failed.resize(reader.count(24));
+  for (Aided::Failed& failed : value.failed) {
+    failed.part = reader.number();
+    failed.kind = reader.number();
+    failed.may_have_run = reader.number();
+  }
+  value.records = reader.text();
+  return reader.is_whole();
+}
+
 bool decode_head(ByteReader& reader, FrameHead& head) {
   if (reader.number() != protocol_number) return false;
   const std::uint64_t kind = reader.number();
-  if (kind < static_cast<std::uint64_t>(FrameKind::ballot) || kind > static_cast<std::uint64_t>(FrameKind::traced)) return false;
+  if (kind < static_cast<std::uint64_t>(FrameKind::ballot) || kind > static_cast<std::uint64_t>(FrameKind::aided)) return false;
   head.kind = static_cast<FrameKind>(kind);
   head.life.value = reader.number();
   head.from = reader.text();
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -22,6 +22,8 @@
   roster,       // entries of the registry of backends
   trace,        // the tracer asks
   traced,       // a node's recent steps
+  aid,          // a broker has parts gathered by one near the backends
+  aided,        // what came of it
 };
 
 struct FrameHead {
@@ -65,6 +67,14 @@
   Edition edition;
   std::uint64_t roster_life = 0, roster_mark = 0;  // what the broker holds of this registry's roster
   bool wants_body = false;
+  std::string region;
+  bool is_ready = false;
+};
+
+// A broker as others may ask it for aid.
+struct BrokerSeat {
+  std::string address, region;  // address: inner
+  auto operator<=>(const BrokerSeat&) const = default;
 };
 
 struct Beat {
@@ -73,6 +83,7 @@
   bool is_filled = false;     // its roster was refilled since it started
   std::uint64_t brokers = 0;  // brokers heard of late
   std::vector<std::string> registries;  // inner addresses of the core
+  std::vector<BrokerSeat> seats;        // ready brokers
 };
 
 struct Body {
@@ -117,6 +128,28 @@
   std::vector<std::string> registries, brokers;  // inner addresses it knows
 };
 
+struct Aid {
+  std::uint64_t token = 0;
+  std::string method, try_id, head_start, body;
+  std::vector<std::string> services;
+  std::uint64_t best_count = 1, time_left = 0, flush_after = 0;  // milliseconds
+};
+
+struct Aided {
+  struct Done {
+    std::uint64_t part;
+    std::string seal;
+  };
+  struct Failed {
+    std::uint64_t part, kind;
+    bool may_have_run;
+  };
+  std::uint64_t token = 0;
+  std::vector<Done> done;  // their greatest records are merged in `records`
+  std::vector<Failed> failed;
+  std::string records;
+};
+
 std::string encode(const FrameHead& head, const Ballot& value);
 std::string encode(const FrameHead& head, const Forward& value);
 std::string encode(const FrameHead& head, const Forwarded& value);
@@ -125,6 +158,8 @@
 std::string encode(const FrameHead& head, const Body& value);
 std::string encode(const FrameHead& head, const Roster& value);
 std::string encode(const FrameHead& head, const Traced& value);
+std::string encode(const FrameHead& head, const Aid& value);
+std::string encode(const FrameHead& head, const Aided& value);
 std::string encode_trace(const FrameHead& head);
 
 // The head alone; false for a foreign or damaged frame.
@@ -137,5 +172,7 @@
 bool decode(ByteReader& reader, Body& value);
 bool decode(ByteReader& reader, Roster& value);
 bool decode(ByteReader& reader, Traced& value);
+bool decode(ByteReader& reader, Aid& value);
+bool decode(ByteReader& reader, Aided& value);
 
 }  // namespace saddlewing
