--- a/src/coordination/errand.cpp
+++ b/src/coordination/errand.cpp
@@ -143,7 +143,7 @@
 Span Errand::further_delay() const {
   const Pace& pace = ground_.pace(rule_);
   if (pace.mean_ms == 0) return std::max(rule_.target / 2, Span(20));
-  const Span usual(static_cast<std::int64_t>(std::ceil(pace.mean_ms + 4 * pace.deviation_ms)));
+  const Span usual(static_cast<std::int64_t>(std::ceil(pace.mean_ms + 3 * pace.deviation_ms)));
   return std::clamp(usual, Span(20), std::max(rule_.target / 2, Span(20)));
 }
 
