--- a/src/coordination/errand.h
+++ b/src/coordination/errand.h
@@ -32,8 +32,12 @@
     virtual Budget& budget(const std::string& service) = 0;
     virtual double reserve(Moment now) = 0;
     // Has another broker, near the backends, gather such of these parts as have none near this one. Gives the parts
-    // taken; none where no such broker is known.
-    virtual std::vector<std::size_t> call_aid(Errand& errand, Span flush_after, Moment now) = 0;
+    // taken, none where no such broker is known, and the region they are asked in.
+    struct AidTaken {
+      std::vector<std::size_t> parts;
+      std::string region;
+    };
+    virtual AidTaken call_aid(Errand& errand, Span flush_after, Moment now) = 0;
     virtual void miss_aid(Errand& errand, Moment now) = 0;  // no frame came in time
     virtual Pace& pace(const Rule& rule) = 0;
     virtual double draw() = 0;  // in [0, 1)
--- a/src/coordination/errand_aid.cpp
+++ b/src/coordination/errand_aid.cpp
@@ -6,8 +6,11 @@
 namespace saddlewing {
 
 void Errand::start_aid(Moment now) {
-  for (const std::size_t index : ground_.call_aid(*this, further_delay(), now)) {
+  const Ground::AidTaken taken = ground_.call_aid(*this, further_delay(), now);
+  for (const std::size_t index : taken.parts) {
     Part& part = parts_[index];
+    for (const BackendPointer& backend : table_->by_service[part.service.value])
+      if (backend->region == taken.region) part.tried.push_back(backend.get());  // any of them may be the one asked
     part.is_aided = is_aid_awaited_ = true;
     part.sent = part.active = 1;
     part.asked = now;
--- a/src/programs/aids.cpp
+++ b/src/programs/aids.cpp
@@ -15,7 +15,7 @@
   return !backend.is_cancelled && backend.status == Status::up && backend.region == region && !backend.breaker.is_open(now);
 }
 
-std::vector<std::size_t> Traffic::call_aid(Errand& errand, Span flush_after, Moment now) {
+Errand::Ground::AidTaken Traffic::call_aid(Errand& errand, Span flush_after, Moment now) {
   const auto& shards = errand.rule().shards;
   const auto& services = errand.table().by_service;
   std::vector<std::size_t> lacking;
@@ -65,7 +65,7 @@
   ++aide.under_way;
   aid_calls_[aid.token] = {&errand, best->address, now, best_parts};
   aid_tokens_[&errand] = aid.token;
-  return best_parts;
+  return {best_parts, best->region};
 }
 
 void Traffic::miss_aid(Errand& errand, Moment now) {
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -78,7 +78,7 @@
   void on_request(Visit& visit, Moment now) override;
   void on_gone(Visit& visit) override;
   bool ask(Asker& asker, std::size_t part, Backend& backend, Moment now) override;
-  std::vector<std::size_t> call_aid(Errand& errand, Span flush_after, Moment now) override;
+  Errand::Ground::AidTaken call_aid(Errand& errand, Span flush_after, Moment now) override;
   void miss_aid(Errand& errand, Moment now) override;
   void send_aided(AidWork& work, Aided aided, Moment now) override;
   Pace& aid_pace(std::size_t best_count) override { return aid_paces_[best_count]; }
--- a/tests/errand_test.cpp
+++ b/tests/errand_test.cpp
@@ -32,6 +32,7 @@
         auto backend = std::make_shared<Backend>();
         backend->id = "s" + std::to_string(service) + "-" + std::to_string(copy);
         backend->status = Status::up;
+        if (copy == 0) backend->region = "far";
         table->by_service[service].push_back(backend);
       }
     table_ = table;
@@ -50,7 +51,7 @@
   PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int, Moment now) override {
     return picker_.pick(backends, tried, 1000, now);
   }
-  std::vector<std::size_t> call_aid(Errand&, Span, Moment) override { return aided_parts; }
+  AidTaken call_aid(Errand&, Span, Moment) override { return {aided_parts, "far"}; }
   void miss_aid(Errand&, Moment) override { ++missed_aids; }
   Pace& pace(const Rule&) override { return pace_; }
   double draw() override { return 0.5; }
@@ -250,6 +251,7 @@
   cr_assert(stage.asked.empty());
   stage.errand->take_aided({1, {{0, "a"}, {1, "b"}, {2, "c"}}, {{3, static_cast<std::uint64_t>(Kind::broke_off), true}}, record('z')}, Span(30), start + 30ms);
   cr_assert(stage.asked.size() == 1 && stage.asked[0].part == 3);
+  cr_expect(stage.asked[0].backend->region != "far", "not the one that may have failed");
   stage.take(3, Stage::good("d", record('y')));
   cr_expect(stage.final.body == record('z') + record('y'));
 }
