--- a/src/coordination/errand.cpp
+++ b/src/coordination/errand.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Span way_back{15};      // kept for the answer's way to the client
+constexpr Span answer_way{10};    // the same for an answer with parts left out, which misses its aim at worst
 constexpr Span hold_step{5};      // while every connection allowed is in use
 constexpr int most_missed = 4;    // askings that reached nobody, per part
 
@@ -15,7 +16,7 @@
 Errand::Errand(Ground& ground, TableCapture table, const Rule& rule, Moment began, Span time_left)
     : ground_(ground), table_(std::move(table)), rule_(rule), began_(began),
       cutoff_(began + std::max(Span(1), std::min(time_left, rule.give_up) - way_back)),
-      prompt_(std::min(began + std::max(rule.target * 9 / 10 - way_back, rule.target / 2), cutoff_ - 1ms)), due_(cutoff_),
+      prompt_(std::min(began + std::max(rule.target - answer_way, rule.target / 2), cutoff_ - 1ms)), due_(cutoff_),
       best_(static_cast<std::size_t>(std::max(1, rule.best_count))) {}
 
 void Errand::start(Moment now) {
