--- a/src/coordination/aid.cpp
+++ b/src/coordination/aid.cpp
@@ -8,7 +8,7 @@
 AidWork::AidWork(Ground& ground, std::uint64_t token, std::vector<Candidates> parts, std::size_t best_count, Span flush_after,
                  Span time_left, Moment now)
     : ground_(ground), token_(token), candidates_(std::move(parts)), parts_(candidates_.size()), best_count_(best_count),
-      cutoff_(now + time_left), best_(best_count) {
+      began_(now), cutoff_(now + time_left), best_(best_count) {
   const Pace& pace = ground_.aid_pace(best_count);
   const Span usual = pace.mean_ms == 0 ? flush_after / 2 : Span(static_cast<std::int64_t>(std::ceil(pace.mean_ms + 3 * pace.deviation_ms)));
   flush_at_ = now + std::min(std::clamp(usual, Span(5), std::max(flush_after, Span(5))), time_left);
@@ -54,7 +54,8 @@
 
 void AidWork::settle(std::size_t index, Moment now) {
   parts_[index].is_settled = true;
-  if (++settled_ == parts_.size() || has_flushed_) flush(now);
+  // A frame with nothing in it would only start further askings, so the first part is waited for.
+  if (++settled_ == parts_.size() || has_flushed_ || now >= flush_at_) flush(now);
 }
 
 void AidWork::flush(Moment now) {
@@ -63,6 +64,7 @@
   Aided aided = std::move(next_);
   next_ = {};
   aided.token = token_;
+  aided.held = static_cast<std::uint64_t>(span_between(began_, now).count());
   aided.records = best_.take();
   best_ = BestRecords(best_count_);
   ground_.send_aided(*this, std::move(aided), now);
@@ -74,7 +76,7 @@
     is_closed_ = true;
     return;
   }
-  if (!has_flushed_ && now >= flush_at_) flush(now);
+  if (!has_flushed_ && settled_ && now >= flush_at_) flush(now);
 }
 
 }  // namespace saddlewing
--- a/src/coordination/aid.h
+++ b/src/coordination/aid.h
@@ -32,7 +32,7 @@
   Moment cutoff() const override { return cutoff_; }
   bool is_gathering() const override { return true; }
   bool is_open() const override { return !is_closed_; }
-  Moment next_due() const override { return has_flushed_ ? cutoff_ : flush_at_; }
+  Moment next_due() const override { return has_flushed_ || !settled_ ? cutoff_ : flush_at_; }
 
  private:
   struct Part {
@@ -48,7 +48,7 @@
   std::vector<Candidates> candidates_;
   std::vector<Part> parts_;
   std::size_t best_count_, settled_ = 0;
-  Moment flush_at_, cutoff_;
+  Moment began_, flush_at_, cutoff_;
   BestRecords best_;
   Aided next_;               // what goes out with the next frame
   bool has_flushed_ = false;  // from then on each part goes alone, so that the other side may drop any of them
--- a/src/programs/aids.cpp
+++ b/src/programs/aids.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t least_parts = 2;  // for a single part a broker between saves nothing
+constexpr std::int64_t frame_margin_ms = 4;
 constexpr int unnamed_connections = 16;  // to a service that this broker's configuration does not name
 
 }  // namespace
@@ -55,10 +56,12 @@
   if (trip == trips_.end()) return {};
   Aide& aide = aides_[best->address];
   if (aide.breaker.is_on_trial(now)) aide.breaker.start_trial(now);
+  // The first frame is to be back before this side would ask directly.
+  const Span frame_after = std::max(flush_after - Span(static_cast<std::int64_t>(aide.way_ms) + frame_margin_ms), Span(1));
   Aid aid{++last_aid_, trip->second->method, trip->second->try_id, trip->second->head_start, trip->second->body, {},
           static_cast<std::uint64_t>(errand.rule().best_count),
           static_cast<std::uint64_t>(std::max<std::int64_t>(1, span_between(now, errand.cutoff()).count())),
-          static_cast<std::uint64_t>(flush_after.count())};
+          static_cast<std::uint64_t>(frame_after.count())};
   for (const std::size_t index : best_parts) aid.services.push_back(errand.table().configuration->services[shards[index].value].name);
   const std::string from = Address{startup_.ip_address, startup_.inner_port}.text();
   if (!send_(AidOut{best->address, aid.token, encode(FrameHead{FrameKind::aid, life_, from}, aid)})) return {};
@@ -104,6 +107,8 @@
     for (Aided::Done& done : came->aided.done) place(done.part);
     for (Aided::Failed& failed : came->aided.failed) place(failed.part);
     aide.breaker.succeed();
+    const double way = std::max(0.0, static_cast<double>(took.count()) - static_cast<double>(came->aided.held));
+    aide.way_ms = aide.way_ms == 0 ? way : aide.way_ms * 0.9 + way * 0.1;
     aide.mean_ms = aide.mean_ms == 0 ? static_cast<double>(took.count()) : aide.mean_ms * 0.9 + static_cast<double>(took.count()) * 0.1;
     trip->errand->take_aided(std::move(came->aided), took, now);
   }
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Span still_chosen{2500};  // after SIGTERM the platform may go on sending for two missed checks
+constexpr Span warm_span{8000};     // how long a connection is kept before its first asking
 constexpr Span before_end{700};     // of the grace, kept for the end itself
 
 Span parse_time_left(const std::string& text, Span otherwise) {
@@ -139,6 +140,8 @@
   for (const auto& [name, backends] : by_name_)
     if (const auto found = indices.find(name); found != indices.end()) table->by_service[found->second] = backends;
   table_ = std::move(table);
+  for (const auto& backends : table_->by_service)
+    for (const BackendPointer& backend : backends) keep_warm(backend);
   const Limits& limits = table_->configuration->limits;
   server_.set_limits({limits.most_header_bytes, limits.most_body_bytes, limits.header_wait, limits.quiet});
 }
@@ -253,6 +256,19 @@
   return picker_.pick(backends, tried, std::max(1, most_connections * 4 / 5 / brokers), now);
 }
 
+// One connection to each backend in use stays open: a further asking far away must not wait for a handshake.
+void Traffic::keep_warm(const BackendPointer& backend) {
+  const auto usual = by_name_.find(backend->service);
+  if (backend->is_cancelled || backend->connections > 0 || usual == by_name_.end() || is_leaving_ || !table_) return;
+  const auto& services = table_->configuration->services;
+  if (std::none_of(services.begin(), services.end(), [&](const Service& service) { return service.name == backend->service; })) return;
+  auto fresh = std::make_unique<Wire>(*this, backend);
+  Wire* wire = fresh.get();
+  wires_[wire] = std::move(fresh);
+  if (wire->is_ended()) return bury(wire);
+  wire->rest(Clock::now(), warm_span);
+}
+
 void Traffic::bury(Wire* wire) {
   const auto found = wires_.find(wire);
   if (found == wires_.end()) return;
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -40,6 +40,7 @@
   bool is_ended() const { return caller_.state() == Caller::State::ended; }
   const Backend& backend() const { return *backend_; }
   void end();
+  void rest(Moment now, Span idle);  // idle until asked, or until the span is over
 
   void on_outcome(Caller& caller, Moment now) override;
   void on_breakdown(Caller& caller, Kind kind, Moment now) override;
@@ -112,6 +113,7 @@
   std::string head_for(const Trip& trip, const Backend& backend, Moment now) const;
   bool is_ready() const { return view_ && view_->is_ready && !is_leaving_; }
   void bury(Wire* wire);
+  void keep_warm(const BackendPointer& backend);
   void check_leaving(Moment now);
 
   const Startup startup_;
@@ -134,7 +136,7 @@
 
   // Aid by brokers of other regions.
   struct Aide {
-    double mean_ms = 0;
+    double mean_ms = 0, way_ms = 0;  // until a frame comes; of that, what the way there and back takes
     int under_way = 0;
     Breaker breaker;
   };
--- a/src/programs/wire.cpp
+++ b/src/programs/wire.cpp
@@ -39,6 +39,11 @@
   backend_.reset();
 }
 
+void Wire::rest(Moment now, Span idle) {
+  traffic_.idle_[backend_.get()].push_back(this);
+  traffic_.schedule_.set(*this, now + idle);
+}
+
 bool Wire::ask(TripPointer trip, std::size_t part, Moment now) {
   const std::string head = traffic_.head_for(*trip, *backend_, now);
   if (!caller_.ask(trip->body.empty() ? head : head + trip->body, trip->method == "HEAD", trip->try_id)) return false;
@@ -59,7 +64,11 @@
 }
 
 void Wire::on_due(Moment now) {
-  if (!trip_) return traffic_.bury(this);  // idle for long enough
+  if (!trip_) {  // idle for long enough
+    const BackendPointer backend = backend_;
+    traffic_.bury(this);
+    return traffic_.keep_warm(backend);
+  }
   if (!caller_.was_connected()) {
     backend_->breaker.fail(now, true);
     const TripPointer trip = release();
@@ -124,8 +133,7 @@
   if (is_ended() || backend_->is_cancelled || idle <= Span(0)) {
     traffic_.bury(this);
   } else {
-    traffic_.idle_[backend_.get()].push_back(this);
-    traffic_.schedule_.set(*this, now + idle);
+    rest(now, idle);
   }
   trip->asker->take_outcome(part, std::move(outcome), took, now);
   traffic_.arrange(*trip);
@@ -142,6 +150,11 @@
   traffic_.arrange(*trip);
 }
 
-void Wire::on_idle_end(Caller&) { traffic_.bury(this); }
+void Wire::on_idle_end(Caller&) {
+  const BackendPointer backend = backend_;
+  const bool was_connected = caller_.was_connected();
+  traffic_.bury(this);
+  if (backend && was_connected) traffic_.keep_warm(backend);
+}
 
 }  // namespace saddlewing
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -244,7 +244,7 @@
   for (const Aided::Done& done : value.done) writer.number(done.part).text(done.seal);
   writer.number(value.failed.size());
   for (const Aided::Failed& failed : value.failed) writer.number(failed.part).number(failed.kind).number(failed.may_have_run);
-  writer.text(value.records);
+  writer.number(value.held).text(value.records);
   return writer.take();
 }
 
@@ -261,6 +261,7 @@
     failed.kind = reader.number();
     failed.may_have_run = reader.number();
   }
+  value.held = reader.number();
   value.records = reader.text();
   return reader.is_whole();
 }
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -147,6 +147,7 @@
   std::uint64_t token = 0;
   std::vector<Done> done;  // their greatest records are merged in `records`
   std::vector<Failed> failed;
+  std::uint64_t held = 0;  // milliseconds between the aid's coming and this frame
   std::string records;
 };
 
--- a/src/transport/caller.cpp
+++ b/src/transport/caller.cpp
@@ -69,7 +69,7 @@
 }
 
 void Caller::fail(Kind kind, Moment now) {
-  const bool is_idle = state_ == State::idle;
+  const bool is_idle = !is_asked_;
   end();
   if (is_idle) owner_.on_idle_end(*this);
   else owner_.on_breakdown(*this, kind, now);
