--- a/src/coordination/aid.cpp
+++ b/src/coordination/aid.cpp
@@ -1,18 +1,11 @@
 #include "coordination/aid.h"
 
-#include <cmath>
-
 namespace saddlewing {
 
-// Stragglers do not hold the others back for longer than parts usually take.
 AidWork::AidWork(Ground& ground, std::uint64_t token, std::vector<Candidates> parts, std::size_t best_count, Span flush_after,
                  Span time_left, Moment now)
-    : ground_(ground), token_(token), candidates_(std::move(parts)), parts_(candidates_.size()), best_count_(best_count),
-      began_(now), cutoff_(now + time_left), best_(best_count) {
-  const Pace& pace = ground_.aid_pace(best_count);
-  const Span usual = pace.mean_ms == 0 ? flush_after / 2 : Span(static_cast<std::int64_t>(std::ceil(pace.mean_ms + 3 * pace.deviation_ms)));
-  flush_at_ = now + std::min(std::clamp(usual, Span(5), std::max(flush_after, Span(5))), time_left);
-}
+    : ground_(ground), token_(token), candidates_(std::move(parts)), parts_(candidates_.size()), best_count_(best_count), began_(now),
+      flush_at_(now + std::min(flush_after, time_left)), cutoff_(now + time_left), best_(best_count) {}
 
 void AidWork::start(Moment now) {
   for (std::size_t index = 0; index < parts_.size() && is_open(); ++index) ask(index, now);
@@ -32,13 +25,12 @@
   }
 }
 
-void AidWork::take_outcome(std::size_t index, BackendOutcome outcome, Span took, Moment now) {
+void AidWork::take_outcome(std::size_t index, BackendOutcome outcome, Span, Moment now) {
   if (!is_open() || parts_[index].is_settled) return;
   const bool is_success = outcome.status >= 200 && outcome.status < 300 && !outcome.is_not_run;
   if (is_success) {
     next_.done.push_back({index, std::move(outcome.seal)});
     best_.add(outcome.body);
-    ground_.aid_pace(best_count_).see(static_cast<double>(took.count()));
   } else {
     next_.failed.push_back({index, static_cast<std::uint64_t>(outcome.is_not_run ? Kind::turned_away : Kind::garbled), true});
   }
@@ -54,6 +46,10 @@
 
 void AidWork::settle(std::size_t index, Moment now) {
   parts_[index].is_settled = true;
+  // Parts of one request take about alike, so those that come much later than half of them are stragglers, and
+  // do not hold the others back.
+  if (!has_flushed_ && settled_ + 1 == (parts_.size() + 1) / 2)
+    flush_at_ = std::min(flush_at_, now + (now - began_) * 6 / 10 + 8ms);
   // A frame with nothing in it would only start further askings, so the first part is waited for.
   if (++settled_ == parts_.size() || has_flushed_ || now >= flush_at_) flush(now);
 }
--- a/src/coordination/aid.h
+++ b/src/coordination/aid.h
@@ -16,7 +16,6 @@
   class Ground : public virtual AskGround {
    public:
     virtual void send_aided(AidWork& work, Aided aided, Moment now) = 0;
-    virtual Pace& aid_pace(std::size_t best_count) = 0;
   };
   struct Candidates {
     std::vector<BackendPointer> backends;
--- a/src/coordination/backend.h
+++ b/src/coordination/backend.h
@@ -51,8 +51,12 @@
   double foreign_load = 0;    // requests of others there, as last told
   Moment load_seen{};
   double mean_ms = 0;         // of its outcomes; 0: none yet
+  double least_ms = 0;        // near the least of them: mostly the way there and back
   Breaker breaker;
-  void see_outcome(double milliseconds) { mean_ms = mean_ms == 0 ? milliseconds : mean_ms * 0.9 + milliseconds * 0.1; }
+  void see_outcome(double milliseconds) {
+    least_ms = mean_ms == 0 || milliseconds < least_ms ? milliseconds : least_ms + (milliseconds - least_ms) * 0.01;
+    mean_ms = mean_ms == 0 ? milliseconds : mean_ms * 0.9 + milliseconds * 0.1;
+  }
 };
 using BackendPointer = std::shared_ptr<Backend>;
 
--- a/src/coordination/errand.cpp
+++ b/src/coordination/errand.cpp
@@ -87,6 +87,8 @@
   ++part.sent;
   ++part.active;
   part.asked = now;
+  part.base_ms = picked.backend->least_ms;
+  part.span_ms = picked.backend->mean_ms - picked.backend->least_ms;
 }
 
 void Errand::fail_part(Part& part, Kind kind, Moment) {
@@ -105,6 +107,7 @@
   if (!outcome.is_not_run) has_run_ = true;
   if (is_success) {
     ground_.pace(rule_).see(static_cast<double>(took.count()));
+    weigh(part, took);
     part.is_done = true;
     ++done_;
     if (!is_gathering()) return finish({Kind::none, outcome.status, std::move(outcome.reason), std::move(outcome.fields), std::move(outcome.body), Span(0)}, now);
@@ -140,14 +143,28 @@
   if (is_open()) consider(now);
 }
 
-// After how long without an outcome a second backend is asked.
+// After how long without an outcome a second backend is asked, going by the rule's parts at large.
 Span Errand::further_delay() const {
   const Pace& pace = ground_.pace(rule_);
   if (pace.mean_ms == 0) return std::max(rule_.target / 2, Span(20));
-  const Span usual(static_cast<std::int64_t>(std::ceil(pace.mean_ms + 3 * pace.deviation_ms)));
+  const Span usual(static_cast<std::int64_t>(std::ceil(pace.mean_ms + 4 * pace.deviation_ms)));
   return std::clamp(usual, Span(20), std::max(rule_.target / 2, Span(20)));
 }
 
+// A request that is heavy for one shard is heavy for all: going by the parts that are in.
+Span Errand::further_delay(const Part& part) const {
+  if (!weighed_ || part.span_ms <= 0) return further_delay();
+  const double weight = std::max(1.0, weight_sum_ / static_cast<double>(weighed_));
+  const Span usual(static_cast<std::int64_t>(std::ceil(part.base_ms + part.span_ms * weight * 1.6 + 12)));
+  return std::clamp(usual, Span(20), std::max(rule_.target, Span(20)));
+}
+
+void Errand::weigh(const Part& part, Span took) {
+  if (part.span_ms <= 0) return;
+  weight_sum_ += std::clamp((static_cast<double>(took.count()) - part.base_ms) / part.span_ms, 0.2, 8.0);
+  ++weighed_;
+}
+
 void Errand::on_due(Moment now) {
   if (!is_open()) return;
   if (now >= cutoff_) {
@@ -156,13 +173,12 @@
     return finish_failed(now);
   }
   if (state_ == State::holding) state_ = State::asking;
-  const Span delay = further_delay();
   if (is_aid_awaited_) give_up_aid(now);
   for (std::size_t index = 0; index < parts_.size() && is_open(); ++index) {
     Part& part = parts_[index];
     if (part.is_done || part.is_failed || (part.is_aided && is_aid_awaited_)) continue;
     if (!part.active) ask(index, false, now);
-    else if (rule_.is_harmless && part.active == 1 && now - part.asked >= delay && may_ask_again(part)) ask(index, true, now);
+    else if (rule_.is_harmless && part.active == 1 && now - part.asked >= further_delay(part) && may_ask_again(part)) ask(index, true, now);
   }
   if (is_open()) consider(now);
 }
@@ -187,11 +203,11 @@
 void Errand::plan(Moment now) {
   due_ = cutoff_;
   if (is_gathering() && now < prompt_) due_ = prompt_;
-  const Span delay = further_delay();
   for (const Part& part : parts_) {
     if (part.is_done || part.is_failed) continue;
     if (!part.active) due_ = std::min(due_, now + hold_step);
-    else if (rule_.is_harmless && part.active == 1 && may_ask_again(part) && part.asked + delay > now) due_ = std::min(due_, part.asked + delay);
+    else if (rule_.is_harmless && part.active == 1 && may_ask_again(part))
+      if (const Moment further = part.asked + further_delay(part); further > now) due_ = std::min(due_, further);
   }
 }
 
--- a/src/coordination/errand.h
+++ b/src/coordination/errand.h
@@ -36,6 +36,7 @@
     struct AidTaken {
       std::vector<std::size_t> parts;
       std::string region;
+      double base_ms = 0, span_ms = 0;  // of its frames: the way, and what usually comes on top
     };
     virtual AidTaken call_aid(Errand& errand, Span flush_after, Moment now) = 0;
     virtual void miss_aid(Errand& errand, Moment now) = 0;  // no frame came in time
@@ -71,6 +72,7 @@
     bool is_done = false, is_failed = false;
     bool is_aided = false;  // another broker is at it
     Moment asked{};
+    double base_ms = 0, span_ms = 0;  // what to expect of the asking under way
     std::string seal;
   };
   void ask(std::size_t index, bool is_further, Moment now);
@@ -84,6 +86,8 @@
   void start_aid(Moment now);
   void give_up_aid(Moment now);
   Span further_delay() const;
+  Span further_delay(const Part& part) const;
+  void weigh(const Part& part, Span took);
 
   Ground& ground_;
   const TableCapture table_;
@@ -94,6 +98,8 @@
   std::vector<Part> parts_;
   BestRecords best_;
   std::size_t done_ = 0, failed_ = 0;
+  double weight_sum_ = 0;              // how much work parts took, against what is usual with their backends
+  std::size_t weighed_ = 0;
   // Invariant: until the first frame of the aid came, or the aid was lost, none of its parts is asked directly: a
   // frame merges parts, and a part that is in already would count twice.
   bool is_aid_awaited_ = false;
--- a/src/coordination/errand_aid.cpp
+++ b/src/coordination/errand_aid.cpp
@@ -14,6 +14,8 @@
     part.is_aided = is_aid_awaited_ = true;
     part.sent = part.active = 1;
     part.asked = now;
+    part.base_ms = taken.base_ms;
+    part.span_ms = taken.span_ms;
   }
 }
 
@@ -23,7 +25,7 @@
   for (const Part& part : parts_) {
     if (!part.is_aided) continue;
     const auto& service = table_->configuration->services[part.service.value];
-    if (now - part.asked < further_delay() || !ground_.budget(service.name).allows_extra(now, reserve)) return;
+    if (now - part.asked < further_delay(part) || !ground_.budget(service.name).allows_extra(now, reserve)) return;
   }
   ground_.miss_aid(*this, now);
   lose_aid(true, now);
@@ -62,6 +64,7 @@
       continue;
     }
     --part.active;
+    weigh(part, took);
     part.is_done = true;
     ++done_;
     part.seal = std::move(done.seal);
--- a/src/programs/aids.cpp
+++ b/src/programs/aids.cpp
@@ -68,7 +68,7 @@
   ++aide.under_way;
   aid_calls_[aid.token] = {&errand, best->address, now, best_parts};
   aid_tokens_[&errand] = aid.token;
-  return {best_parts, best->region};
+  return {best_parts, best->region, aide.way_ms, aide.mean_ms - aide.way_ms};
 }
 
 void Traffic::miss_aid(Errand& errand, Moment now) {
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -82,7 +82,6 @@
   Errand::Ground::AidTaken call_aid(Errand& errand, Span flush_after, Moment now) override;
   void miss_aid(Errand& errand, Moment now) override;
   void send_aided(AidWork& work, Aided aided, Moment now) override;
-  Pace& aid_pace(std::size_t best_count) override { return aid_paces_[best_count]; }
   void answer(Errand& errand, FinalAnswer answer, Moment now) override;
   Budget& budget(const std::string& service) override;
   double reserve(Moment now) override { return reserve_.part(now); }
@@ -151,7 +150,6 @@
   std::unordered_map<std::string, Aide> aides_;              // by inner address
   std::unordered_map<std::uint64_t, AidCall> aid_calls_;     // by token
   std::unordered_map<const Asker*, std::uint64_t> aid_tokens_;
-  std::unordered_map<std::size_t, Pace> aid_paces_;          // by best_count
   std::uint64_t last_aid_ = 0;
   const LifeId life_;
   std::unordered_map<VisitId, Errand*> by_visit_;
--- a/tests/errand_test.cpp
+++ b/tests/errand_test.cpp
@@ -326,14 +326,12 @@
     return picker_.pick(backends, tried, 1000, now);
   }
   void send_aided(AidWork&, Aided aided, Moment) override { frames.push_back(std::move(aided)); }
-  Pace& aid_pace(std::size_t) override { return pace_; }
   std::vector<std::size_t> asked;
   std::vector<Aided> frames;
   std::unique_ptr<AidWork> work;
 
  private:
   Picker picker_{{"", ""}, 1};
-  Pace pace_;
 };
 
 }  // namespace
