--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "programs/programs.h"
+#include "state/startup.h"
 
 namespace {
 
@@ -14,6 +15,19 @@
   return 2;
 }
 
+int trace(const cxxopts::Options& options, const cxxopts::ParseResult& read, const std::vector<std::string>& words) {
+  if (words.size() != 1 || words[0].empty() || words[0].size() > 18 || words[0].find_first_not_of("0123456789") != std::string::npos)
+    return usage(options, "tracer takes one edition, a whole number");
+  if (!read.count("contact")) return usage(options, "tracer needs a --contact");
+  const auto contacts = read["contact"].as<std::vector<std::string>>();
+  saddlewing::Address address;
+  for (const std::string& contact : contacts)
+    if (!saddlewing::parse_address(contact, address)) return usage(options, contact + " is not an address (host:port, host in dots)");
+  const int wait = read["wait-ms"].as<int>();
+  if (wait < 1 || wait > 600000) return usage(options, "wait-ms is out of range");
+  return saddlewing::run_tracer(std::stoll(words[0]), contacts, read.count("json") > 0, wait);
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -21,8 +35,10 @@
   options.positional_help("COMMAND [FILE]");
   options.add_options()("h,help", "print this help")("version", "print the version")(
       "startup", "startup file (else SADDLEWING_NODE_FILE names it)", cxxopts::value<std::string>())(
-      "command", "broker, registry or check", cxxopts::value<std::string>())("file", "for check: the file",
-                                                                             cxxopts::value<std::vector<std::string>>());
+      "contact", "tracer: inner address of a node; may be given more than once", cxxopts::value<std::vector<std::string>>())(
+      "json", "tracer: print JSON")("wait-ms", "tracer: how long to wait for answers", cxxopts::value<int>()->default_value("2000"))(
+      "command", "broker, registry, tracer or check", cxxopts::value<std::string>())(
+      "file", "check: the file; tracer: the edition", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"command", "file"});
   cxxopts::ParseResult read;
   try {
@@ -45,6 +61,7 @@
     if (files.size() != 1) return usage(options, "check takes one file");
     return saddlewing::run_check(files[0]);
   }
+  if (command == "tracer") return trace(options, read, files);
   if (command != "broker" && command != "registry") return usage(options, "unknown command " + command);
   if (!files.empty()) return usage(options, command + " takes no file");
   const char* told = std::getenv("SADDLEWING_NODE_FILE");
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -105,6 +105,7 @@
     note_commit(now);
     tend_registry(now);
     tend_brokers(now);
+    tend_rollout(now);
     handle_output(now);
     if (should_leave_ && leave_by == Moment::max()) {
       LOG(INFO) << "agree: leaving";
@@ -243,6 +244,7 @@
   noted_ = agreement_.committed();
   if (!is_new_edition || noted_->edition.value == 0) return;
   note(noted_->edition, "committed", now);
+  committed_at_ = now;
   LOG(INFO) << "agree: edition " << noted_->edition.value << " committed";
   ConfigurationCapture capture;
   if (Fault found = read_configuration(noted_->body, capture)) {
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -67,6 +67,7 @@
   void note_commit(Moment now);
   void tend_registry(Moment now);
   void tend_brokers(Moment now);
+  void tend_rollout(Moment now);
   void send_beat(const std::string& route, Moment now);
   void send_to(const std::string& address, const std::string& bytes);
   void reach(const std::string& address);
@@ -94,6 +95,8 @@
   std::map<std::string, Peer> peers_;      // by inner address
   EntryCapture noted_;                     // the committed entry that was made known
   ConfigurationCapture configuration_;
+  Moment committed_at_{};
+  Edition in_force_;                       // of the roll-out; never above what is committed
   bool is_observing_ = false, was_leader_ = false;
   std::uint64_t ordered_mark_ = ~0ull;
   Moment registry_due_{}, foreign_logged_{};
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -55,7 +55,7 @@
     handles.assign({hub_.handle()});
     for (const auto& [address, source] : sources_) handles.push_back(source.spoke->handle());
     for (const auto& [address, spoke] : aides_) handles.push_back(spoke->handle());
-    const Moment due = follow_due_;
+    const Moment due = coming_ ? std::min(follow_due_, coming_since_ + startup_.rollout_wait * 2) : follow_due_;
     wait_links(handles, waker_, std::clamp(std::chrono::ceil<Span>(due - Clock::now()), Span(0), Span(1000)));
     now = Clock::now();
     for (auto& [address, source] : sources_)
@@ -67,6 +67,7 @@
     take_hub(now);
     send_aids();
     fetch(now);
+    turn_to_coming(now);
     check_ready(now);
     if (has_news_) publish();
   }
@@ -112,6 +113,7 @@
 
 void Follower::take_beat(Source& source, const Beat& beat, Moment now) {
   source.edition = beat.edition;
+  source.in_force = beat.in_force;
   source.is_confirmed = beat.is_confirmed;
   source.is_filled = beat.is_filled;
   if (beat.is_confirmed) {
@@ -131,14 +133,15 @@
       has_news_ = true;
     }
   }
-  if (!configuration_ || beat.edition > configuration_->edition) fetch(now);
+  if (beat.edition > held()) fetch(now);
+  turn_to_coming(now);
 }
 
 // Asks the registry heard last that holds the newest edition for its body.
 void Follower::fetch(Moment now) {
   if (now < fetch_due_) return;
   Source* best = nullptr;
-  const Edition held = configuration_ ? configuration_->edition : Edition{};
+  const Edition held = this->held();
   for (auto& [address, source] : sources_)
     if (source.edition > held && (!best || source.edition > best->edition || (source.edition == best->edition && source.heard > best->heard)))
       best = &source;
@@ -148,19 +151,38 @@
 }
 
 void Follower::take_body(Body body, Moment now) {
-  if (configuration_ && body.edition <= configuration_->edition) return;  // never back within a life
+  if (body.edition <= held()) return;  // never back within a life
   ConfigurationCapture capture;
   if (Fault found = read_configuration(body.body, capture)) {
     LOG(ERROR) << "follow: configuration unreadable: " << found.text();
     return;
   }
-  configuration_ = std::move(capture);
+  if (!coming_) coming_since_ = now;
+  coming_ = std::move(capture);
   fetch_due_ = {};
+  note(coming_->edition, "held", now);
+  LOG(INFO) << "follow: edition " << coming_->edition.value << " held";
+  turn_to_coming(now);
+  follow_due_ = now;
+}
+
+// Turns to the edition held once a registry counts it as rolled out. A first one in this life has nothing to wait for,
+// and none is waited for long: registries may be out of reach.
+void Follower::turn_to_coming(Moment now) {
+  if (!coming_) return;
+  const bool is_due = !configuration_ || !is_ready_ || now - coming_since_ > startup_.rollout_wait * 2 ||
+                      std::any_of(sources_.begin(), sources_.end(),
+                                  [&](const auto& source) { return source.second.in_force >= coming_->edition; });
+  if (!is_due) return;
+  configuration_ = std::move(coming_);
+  coming_ = nullptr;
   has_news_ = true;
-  steps_.push_back({configuration_->edition, "held", now});
+  note(configuration_->edition, "in force", now);
+}
+
+void Follower::note(Edition edition, const char* what, Moment now) {
+  steps_.push_back({edition, what, now});
   if (steps_.size() > most_steps) steps_.pop_front();
-  LOG(INFO) << "follow: edition " << configuration_->edition.value << " held";
-  follow_due_ = now;
 }
 
 void Follower::take_roster(Source& source, const FrameHead& head, const Roster& roster, Moment now) {
@@ -203,8 +225,6 @@
     view->backends.back().warm_left = line.warm_until > now ? static_cast<std::uint64_t>(span_between(now, line.warm_until).count()) : 0;
   }
   show_(std::move(view));
-  if (configuration_ && (steps_.empty() || steps_.back().edition != configuration_->edition || std::string_view(steps_.back().what) == "held"))
-    steps_.push_back({configuration_->edition, "in force", now});
 }
 
 void Follower::take_hub(Moment now) {
@@ -223,7 +243,7 @@
     Traced traced;
     traced.node = startup_.node_name;
     traced.role = "broker";
-    if (configuration_) traced.held = configuration_->edition;
+    traced.held = held();
     for (const Stamped& step : steps_)
       traced.steps.push_back({step.edition, step.what, static_cast<std::uint64_t>(span_between(step.when, now).count())});
     traced.registries = registries_;
--- /dev/null
+++ b/src/programs/tracer_program.cpp
@@ -0,0 +1,152 @@
+// saddlewing tracer: follows one change of the configuration through all nodes.
+#include <json/json.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <iostream>
+#include <map>
+
+#include "programs/programs.h"
+#include "protocol/frames.h"
+#include "state/startup.h"
+#include "transport/link.h"
+
+namespace saddlewing {
+namespace {
+
+struct Found {
+  Traced traced;
+  Moment heard;
+};
+
+// Asks nodes as they become known, until all have answered or the time is over.
+class Inquiry {
+ public:
+  Inquiry(const std::vector<std::string>& contacts, Span most) : until_(Clock::now() + most) {
+    for (const std::string& contact : contacts) add(contact);
+  }
+  void run() {
+    while (Clock::now() < until_ && found_.size() < spokes_.size()) {
+      const Moment now = Clock::now();
+      std::vector<void*> handles;
+      for (const auto& [address, spoke] : spokes_) {
+        handles.push_back(spoke->handle());
+        if (!found_.contains(address) && now - asked_[address] >= ask_again && spoke->send(encode_trace({FrameKind::trace, {}, {}})))
+          asked_[address] = now;
+      }
+      wait_links(handles, waker_, std::min(ask_again, std::chrono::ceil<Span>(until_ - now)));
+      std::vector<std::string> heard_of;
+      for (const auto& [address, spoke] : spokes_)
+        while (const auto parcel = spoke->receive()) {
+          ByteReader reader(parcel->bytes);
+          FrameHead head;
+          Traced traced;
+          if (!decode_head(reader, head) || head.kind != FrameKind::traced || !decode(reader, traced)) continue;
+          heard_of.insert(heard_of.end(), traced.registries.begin(), traced.registries.end());
+          heard_of.insert(heard_of.end(), traced.brokers.begin(), traced.brokers.end());
+          found_.try_emplace(address, Found{std::move(traced), Clock::now()});
+        }
+      for (const std::string& address : heard_of) add(address);
+    }
+  }
+  const std::map<std::string, Found>& found() const { return found_; }
+  std::vector<std::string> silent() const {
+    std::vector<std::string> silent;
+    for (const auto& [address, spoke] : spokes_)
+      if (!found_.contains(address)) silent.push_back(address);
+    return silent;
+  }
+
+ private:
+  static constexpr Span ask_again{100};
+  void add(const std::string& text) {
+    Address address;
+    if (!spokes_.contains(text) && parse_address(text, address)) spokes_[text] = std::make_unique<Spoke>(context_, address);
+  }
+  Moment until_;
+  LinkContext context_;
+  Waker waker_;
+  std::map<std::string, std::unique_ptr<Spoke>> spokes_;
+  std::map<std::string, Moment> asked_;
+  std::map<std::string, Found> found_;
+};
+
+struct Line {
+  std::string node, role, address, what;
+  Moment when{};
+};
+
+void print_json(Edition edition, const std::vector<Line>& lines, Moment first, const Inquiry& inquiry) {
+  Json::Value root(Json::objectValue);
+  root["edition"] = static_cast<Json::Int64>(edition.value);
+  root["steps"] = Json::Value(Json::arrayValue);
+  for (const Line& line : lines) {
+    Json::Value step(Json::objectValue);
+    step["at_ms"] = static_cast<Json::Int64>(span_between(first, line.when).count());
+    step["node"] = line.node;
+    step["role"] = line.role;
+    step["address"] = line.address;
+    step["step"] = line.what;
+    root["steps"].append(step);
+  }
+  root["nodes"] = Json::Value(Json::arrayValue);
+  for (const auto& [address, found] : inquiry.found()) {
+    Json::Value node(Json::objectValue);
+    node["node"] = found.traced.node;
+    node["role"] = found.traced.role;
+    node["address"] = address;
+    node["holds"] = static_cast<Json::Int64>(found.traced.held.value);
+    node["is_leader"] = found.traced.is_leader;
+    root["nodes"].append(node);
+  }
+  root["silent"] = Json::Value(Json::arrayValue);
+  for (const std::string& address : inquiry.silent()) root["silent"].append(address);
+  std::cout << root.toStyledString();
+}
+
+void print_table(Edition edition, const std::vector<Line>& lines, Moment first, const Inquiry& inquiry) {
+  std::size_t width = 4;
+  for (const auto& [address, found] : inquiry.found()) width = std::max(width, found.traced.node.size());
+  std::printf("edition %lld\n%8s  %-*s  %-8s  %s\n", static_cast<long long>(edition.value), "ms", static_cast<int>(width), "node", "role", "step");
+  for (const Line& line : lines)
+    std::printf("%8lld  %-*s  %-8s  %s\n", static_cast<long long>(span_between(first, line.when).count()), static_cast<int>(width),
+                line.node.c_str(), line.role.c_str(), line.what.c_str());
+  for (const auto& [address, found] : inquiry.found())
+    if (found.traced.held < edition)
+      std::printf("lags: %s (%s) holds edition %lld\n", found.traced.node.c_str(), address.c_str(), static_cast<long long>(found.traced.held.value));
+  for (const std::string& address : inquiry.silent()) std::printf("silent: %s\n", address.c_str());
+}
+
+}  // namespace
+
+int run_tracer(std::int64_t number, const std::vector<std::string>& contacts, bool is_json, int wait_ms) {
+  const Edition edition{number};
+  Inquiry inquiry(contacts, Span(wait_ms));
+  inquiry.run();
+  if (inquiry.found().empty()) {
+    for (const std::string& contact : contacts) std::cerr << "tracer: " << contact << " does not answer\n";
+    return 1;
+  }
+  std::vector<Line> lines;
+  Edition newest;
+  for (const auto& [address, found] : inquiry.found()) {
+    newest = std::max(newest, found.traced.held);
+    // Clocks differ between nodes, so steps come with their age; what the answer took on its way blurs them.
+    for (const Step& step : found.traced.steps)
+      if (step.edition == edition)
+        lines.push_back({found.traced.node, found.traced.role, address, step.what, found.heard - Span(static_cast<std::int64_t>(step.age))});
+  }
+  if (lines.empty()) {
+    std::cerr << "tracer: edition " << number
+              << (edition > newest ? " is unknown: the newest held anywhere is " : " is not in any node's steps any more, or never was: the newest held is ")
+              << newest.value << "\n";
+    return 1;
+  }
+  std::sort(lines.begin(), lines.end(), [](const Line& left, const Line& right) { return left.when < right.when; });
+  const Moment first = lines.front().when;
+  if (is_json) print_json(edition, lines, first, inquiry);
+  else print_table(edition, lines, first, inquiry);
+  return 0;
+}
+
+}  // namespace saddlewing
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -123,7 +123,7 @@
 
 std::string encode(const FrameHead& head, const Beat& value) {
   Writer writer = open_frame(head, FrameKind::beat);
-  writer.number(value.edition.value).number(value.is_confirmed).number(value.is_filled).number(value.brokers);
+  writer.number(value.edition.value).number(value.in_force.value).number(value.is_confirmed).number(value.is_filled).number(value.brokers);
   write_texts(writer, value.registries);
   writer.number(value.seats.size());
   for (const BrokerSeat& seat : value.seats) writer.text(seat.address).text(seat.region);
@@ -132,6 +132,7 @@
 
 bool decode(ByteReader& reader, Beat& value) {
   value.edition = read_edition(reader);
+  value.in_force = read_edition(reader);
   value.is_confirmed = reader.number();
   value.is_filled = reader.number();
   value.brokers = reader.number();
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -79,6 +79,7 @@
 
 struct Beat {
   Edition edition;
+  Edition in_force;           // every broker heard of late holds it, or the wait for that is over
   bool is_confirmed = false;  // a quorum stands behind it
   bool is_filled = false;     // its roster was refilled since it started
   std::uint64_t brokers = 0;  // brokers heard of late
--- a/src/state/startup.cpp
+++ b/src/state/startup.cpp
@@ -178,8 +178,10 @@
   reader.truth("options.self_preservation", read.is_preserving);
   reader.span("options.listing_ms", read.listing);
   reader.span("options.follow_ms", read.follow);
+  reader.span("options.rollout_wait_ms", read.rollout_wait);
   reader.span("options.unconfirmed_wait_ms", read.unconfirmed_wait);
   if (read.election < read.beat * 3) reader.fail("options.election_ms is under three times options.beat_ms");
+  if (read.rollout_wait * 3 > read.take_effect) reader.fail("options.rollout_wait_ms is over a third of time_bounds.take_effect_ms");
   if (read.hold < read.renewal * 2) reader.fail("options.hold_ms is under twice options.renewal_ms");
   if (!reader.first().empty()) return fault(Kind::invalid, reader.first());
   startup = std::move(read);
--- a/src/state/startup.h
+++ b/src/state/startup.h
@@ -42,6 +42,7 @@
   double renewal_threshold = 0.85;
   bool is_preserving = true;            // eviction pauses under the threshold
   Span listing{500}, follow{400};       // platform list; broker's beat to the registries
+  Span rollout_wait{400};               // a new edition waits this long for brokers that do not hold it yet
   Span unconfirmed_wait{2000};          // then a broker serves by what any registry holds committed
 };
 
