--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -44,7 +44,7 @@
       events_(4096, [this] { waker_.wake(); }), contacts_(4, [this] { waker_.wake(); }),
       agreement_(std::move(durable), agreement_options(startup, life, address_),
                  inner_addresses(startup.contacts, startup.inner_port), Clock::now()),
-      registry_(registry_options(startup)) {}
+      registry_(registry_options(startup)), rollout_(startup.rollout_wait) {}
 
 Fault Core::open() { return hub_.open(context_, Address{startup_.ip_address, startup_.inner_port}); }
 
@@ -244,7 +244,7 @@
   noted_ = agreement_.committed();
   if (!is_new_edition || noted_->edition.value == 0) return;
   note(noted_->edition, "committed", now);
-  committed_at_ = now;
+  rollout_.commit(noted_->edition, now);
   LOG(INFO) << "agree: edition " << noted_->edition.value << " committed";
   ConfigurationCapture capture;
   if (Fault found = read_configuration(noted_->body, capture)) {
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -7,6 +7,7 @@
 
 #include "coordination/agreement.h"
 #include "coordination/registry.h"
+#include "coordination/rollout.h"
 #include "programs/desk.h"
 #include "programs/lookout.h"
 #include "programs/rings.h"
@@ -95,8 +96,7 @@
   std::map<std::string, Peer> peers_;      // by inner address
   EntryCapture noted_;                     // the committed entry that was made known
   ConfigurationCapture configuration_;
-  Moment committed_at_{};
-  Edition in_force_;                       // of the roll-out; never above what is committed
+  Rollout rollout_;
   bool is_observing_ = false, was_leader_ = false;
   std::uint64_t ordered_mark_ = ~0ull;
   Moment registry_due_{}, foreign_logged_{};
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -78,7 +78,7 @@
 void Core::send_beat(const std::string& route, Moment now) {
   Beat beat;
   if (agreement_.committed()) beat.edition = agreement_.committed()->edition;
-  beat.in_force = in_force_;
+  beat.in_force = rollout_.in_force();
   beat.is_confirmed = agreement_.is_confirmed(now);
   beat.is_filled = registry_.is_filled();
   beat.brokers = brokers_.size();
@@ -115,15 +115,12 @@
   }
 }
 
-// An edition comes into force once every broker holds it, so that all turn to it within one frame's way of each other.
-// Who does not hold it in time is not waited for.
 void Core::tend_rollout(Moment now) {
-  if (!noted_ || in_force_ >= noted_->edition) return;
-  const bool is_held = std::all_of(brokers_.begin(), brokers_.end(),
-                                   [&](const auto& broker) { return broker.second.held >= noted_->edition; });
-  if (!is_held && now - committed_at_ < startup_.rollout_wait) return;
-  in_force_ = noted_->edition;
-  note(in_force_, is_held ? "held by all brokers" : "not waited for any longer", now);
+  std::vector<Edition> held;
+  for (const auto& [from, broker] : brokers_) held.push_back(broker.held);
+  const Rollout::Turn turn = rollout_.advance(held, now);
+  if (turn == Rollout::Turn::none) return;
+  note(rollout_.in_force(), turn == Rollout::Turn::held_by_all ? "held by all" : "waited enough", now);
   for (const auto& [from, broker] : brokers_) send_beat(broker.route, now);
 }
 
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -16,7 +16,7 @@
 
 Follower::Follower(const Startup& startup, LifeId life, std::function<void(ViewCapture)> show, std::function<void(AidEvent)> tell)
     : startup_(startup), life_(life), address_(Address{startup.ip_address, startup.inner_port}.text()), show_(std::move(show)),
-      tell_(std::move(tell)), contacts_(4, [this] { waker_.wake(); }), outs_(1024, [this] { waker_.wake(); }), born_(Clock::now()) {
+      tell_(std::move(tell)), contacts_(4, [this] { waker_.wake(); }), outs_(1024, [this] { waker_.wake(); }), turnover_(startup.rollout_wait * 2), born_(Clock::now()) {
   contacts_.push(startup.contacts);
 }
 
@@ -55,7 +55,7 @@
     handles.assign({hub_.handle()});
     for (const auto& [address, source] : sources_) handles.push_back(source.spoke->handle());
     for (const auto& [address, spoke] : aides_) handles.push_back(spoke->handle());
-    const Moment due = coming_ ? std::min(follow_due_, coming_since_ + startup_.rollout_wait * 2) : follow_due_;
+    const Moment due = turnover_.is_turning() ? std::min(follow_due_, turnover_.due()) : follow_due_;
     wait_links(handles, waker_, std::clamp(std::chrono::ceil<Span>(due - Clock::now()), Span(0), Span(1000)));
     now = Clock::now();
     for (auto& [address, source] : sources_)
@@ -67,16 +67,15 @@
     take_hub(now);
     send_aids();
     fetch(now);
-    turn_to_coming(now);
+    turn(now);
     check_ready(now);
     if (has_news_) publish();
   }
 }
 
 void Follower::follow_one(Source& source, bool wants_body) {
-  const Edition held = configuration_ ? configuration_->edition : Edition{};
-  source.spoke->send(encode({FrameKind::follow, life_, address_}, 
-                           Follow{held, source.life, source.mark, wants_body, startup_.region, is_ready_ && !is_leaving_}));
+  source.spoke->send(encode({FrameKind::follow, life_, address_},
+                           Follow{turnover_.held(), source.life, source.mark, wants_body, startup_.region, is_ready_ && !is_leaving_}));
 }
 
 void Follower::follow_all(Moment now) {
@@ -113,7 +112,7 @@
 
 void Follower::take_beat(Source& source, const Beat& beat, Moment now) {
   source.edition = beat.edition;
-  source.in_force = beat.in_force;
+  turnover_.see_in_force(beat.in_force);
   source.is_confirmed = beat.is_confirmed;
   source.is_filled = beat.is_filled;
   if (beat.is_confirmed) {
@@ -133,15 +132,15 @@
       has_news_ = true;
     }
   }
-  if (beat.edition > held()) fetch(now);
-  turn_to_coming(now);
+  if (beat.edition > turnover_.held()) fetch(now);
+  turn(now);
 }
 
 // Asks the registry heard last that holds the newest edition for its body.
 void Follower::fetch(Moment now) {
   if (now < fetch_due_) return;
   Source* best = nullptr;
-  const Edition held = this->held();
+  const Edition held = turnover_.held();
   for (auto& [address, source] : sources_)
     if (source.edition > held && (!best || source.edition > best->edition || (source.edition == best->edition && source.heard > best->heard)))
       best = &source;
@@ -151,33 +150,24 @@
 }
 
 void Follower::take_body(Body body, Moment now) {
-  if (body.edition <= held()) return;  // never back within a life
+  if (body.edition <= turnover_.held()) return;  // never back within a life
   ConfigurationCapture capture;
   if (Fault found = read_configuration(body.body, capture)) {
     LOG(ERROR) << "follow: configuration unreadable: " << found.text();
     return;
   }
-  if (!coming_) coming_since_ = now;
-  coming_ = std::move(capture);
+  turnover_.take(std::move(capture), now);
   fetch_due_ = {};
-  note(coming_->edition, "held", now);
-  LOG(INFO) << "follow: edition " << coming_->edition.value << " held";
-  turn_to_coming(now);
+  note(body.edition, "held", now);
+  LOG(INFO) << "follow: edition " << body.edition.value << " held";
+  turn(now);
   follow_due_ = now;
 }
 
-// Turns to the edition held once a registry counts it as rolled out. A first one in this life has nothing to wait for,
-// and none is waited for long: registries may be out of reach.
-void Follower::turn_to_coming(Moment now) {
-  if (!coming_) return;
-  const bool is_due = !configuration_ || !is_ready_ || now - coming_since_ > startup_.rollout_wait * 2 ||
-                      std::any_of(sources_.begin(), sources_.end(),
-                                  [&](const auto& source) { return source.second.in_force >= coming_->edition; });
-  if (!is_due) return;
-  configuration_ = std::move(coming_);
-  coming_ = nullptr;
+void Follower::turn(Moment now) {
+  if (!turnover_.turn(is_ready_, now)) return;
   has_news_ = true;
-  note(configuration_->edition, "in force", now);
+  note(turnover_.serving()->edition, "in force", now);
 }
 
 void Follower::note(Edition edition, const char* what, Moment now) {
@@ -200,13 +190,14 @@
 // Ready: a configuration and a roster that a registry with a quorum behind it confirmed in this life, or, when no
 // such registry answers in time, the newest that any registry reached holds committed.
 void Follower::check_ready(Moment now) {
-  if (is_ready_ || !configuration_) return;
+  const ConfigurationCapture& serving = turnover_.serving();
+  if (is_ready_ || !serving) return;
   for (const auto& [address, source] : sources_) {
-    const bool is_current = source.heard != Moment{} && source.has_roster && source.edition <= configuration_->edition;
-    const bool is_trusted = source.is_confirmed && source.is_filled && source.edition == configuration_->edition;
+    const bool is_current = source.heard != Moment{} && source.has_roster && source.edition <= serving->edition;
+    const bool is_trusted = source.is_confirmed && source.is_filled && source.edition == serving->edition;
     if (!is_current || (!is_trusted && now - born_ < startup_.unconfirmed_wait)) continue;
     is_ready_ = has_news_ = true;
-    LOG(INFO) << "follow: ready by edition " << configuration_->edition.value << (is_trusted ? "" : ", unconfirmed");
+    LOG(INFO) << "follow: ready by edition " << serving->edition.value << (is_trusted ? "" : ", unconfirmed");
     return;
   }
 }
@@ -214,7 +205,7 @@
 void Follower::publish() {
   has_news_ = false;
   auto view = std::make_shared<View>();
-  view->configuration = configuration_;
+  view->configuration = turnover_.serving();
   view->is_ready = is_ready_;
   view->brokers = brokers_;
   view->seats = seats_;
@@ -243,7 +234,7 @@
     Traced traced;
     traced.node = startup_.node_name;
     traced.role = "broker";
-    traced.held = held();
+    traced.held = turnover_.held();
     for (const Stamped& step : steps_)
       traced.steps.push_back({step.edition, step.what, static_cast<std::uint64_t>(span_between(step.when, now).count())});
     traced.registries = registries_;
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "coordination/registry.h"
+#include "coordination/rollout.h"
 #include "protocol/frames.h"
 #include "state/configuration.h"
 #include "state/startup.h"
@@ -62,7 +63,7 @@
   struct Source {  // one registry
     std::unique_ptr<Spoke> spoke;
     std::uint64_t life = 0, mark = 0;  // of its roster, as far as taken
-    Edition edition, in_force;         // it holds committed; and counts as rolled out
+    Edition edition;                   // it holds committed
     bool is_confirmed = false, is_filled = false, has_roster = false;
     Moment heard{};
   };
@@ -76,8 +77,7 @@
   void follow_one(Source& source, bool wants_body);
   void fetch(Moment now);
   void check_ready(Moment now);
-  void turn_to_coming(Moment now);
-  Edition held() const { return coming_ ? coming_->edition : configuration_ ? configuration_->edition : Edition{}; }
+  void turn(Moment now);
   void note(Edition edition, const char* what, Moment now);
   void publish();
   void take_hub(Moment now);
@@ -98,9 +98,7 @@
   std::map<std::string, Source> sources_;  // by inner address
   std::vector<std::string> seeds_, registries_;
   RosterBook book_;
-  // Invariant: `coming_` is null or of a higher edition than `configuration_`.
-  ConfigurationCapture configuration_, coming_;  // in force here; held, and not in force yet
-  Moment coming_since_{};
+  Turnover turnover_;
   Moment born_, follow_due_{}, fetch_due_{};
   bool is_ready_ = false, has_news_ = false;
   std::uint64_t brokers_ = 1;
--- a/tests/errand_test.cpp
+++ b/tests/errand_test.cpp
@@ -82,6 +82,14 @@
 const char risky[] = R"("sort":"risky","service":"s0")";
 const char gathered[] = R"("sort":"harmless","ask_all":["s0","s1","s2","s3"],"best_count":2,"fewest_parts":0.75)";
 
+Aided frame(std::vector<Aided::Done> done, std::vector<Aided::Failed> failed, std::string records) {
+  Aided aided;
+  aided.done = std::move(done);
+  aided.failed = std::move(failed);
+  aided.records = std::move(records);
+  return aided;
+}
+
 std::string record(char letter) { return std::string(16, letter); }
 
 }  // namespace
@@ -239,7 +247,7 @@
   stage.errand->start(start);
   cr_assert(stage.asked.size() == 1 && stage.asked[0].part == 3);
   stage.take(3, Stage::good("d", record('m')));
-  stage.errand->take_aided({1, {{0, "a"}, {1, "b"}, {2, "c"}}, {}, record('z') + record('k')}, Span(30), start + 30ms);
+  stage.errand->take_aided(frame({{0, "a"}, {1, "b"}, {2, "c"}}, {}, record('z') + record('k')), Span(30), start + 30ms);
   cr_expect(stage.status() == 200 && stage.final.body == record('z') + record('m'));
   cr_expect(stage.final.fields == "Part-Seals: a, b, c, d\r\nParts-Missing: 0\r\n");
 }
@@ -249,7 +257,7 @@
   stage.aided_parts = {0, 1, 2, 3};
   stage.errand->start(start);
   cr_assert(stage.asked.empty());
-  stage.errand->take_aided({1, {{0, "a"}, {1, "b"}, {2, "c"}}, {{3, static_cast<std::uint64_t>(Kind::broke_off), true}}, record('z')}, Span(30), start + 30ms);
+  stage.errand->take_aided(frame({{0, "a"}, {1, "b"}, {2, "c"}}, {{3, static_cast<std::uint64_t>(Kind::broke_off), true}}, record('z')), Span(30), start + 30ms);
   cr_assert(stage.asked.size() == 1 && stage.asked[0].part == 3);
   cr_expect(stage.asked[0].backend->region != "far", "not the one that may have failed");
   stage.take(3, Stage::good("d", record('y')));
@@ -263,7 +271,7 @@
   stage.errand->on_due(start + 100ms);
   cr_assert(stage.asked.size() == 4 && stage.missed_aids == 1);
   stage.take(0, Stage::good("a", record('z')), start + 120ms);
-  stage.errand->take_aided({1, {{0, "a2"}, {1, "b2"}, {2, "c2"}, {3, "d2"}}, {}, record('z') + record('y')}, Span(125), start + 125ms);
+  stage.errand->take_aided(frame({{0, "a2"}, {1, "b2"}, {2, "c2"}, {3, "d2"}}, {}, record('z') + record('y')), Span(125), start + 125ms);
   for (std::size_t part = 1; part < 4; ++part) stage.take(part, Stage::good("p" + std::to_string(part), record('c')), start + 130ms);
   cr_expect(stage.status() == 200 && stage.final.body == record('z') + record('c'), "no record twice, none of a part not named");
 }
@@ -275,7 +283,7 @@
   stage.errand->start(start);
   stage.errand->on_due(start + 100ms);
   cr_expect(stage.asked.empty() && stage.missed_aids == 0);
-  stage.errand->take_aided({1, {{0, "a"}, {1, "b"}, {2, "c"}, {3, "d"}}, {}, record('z')}, Span(150), start + 150ms);
+  stage.errand->take_aided(frame({{0, "a"}, {1, "b"}, {2, "c"}, {3, "d"}}, {}, record('z')), Span(150), start + 150ms);
   cr_expect(stage.status() == 200);
 }
 
@@ -293,12 +301,12 @@
   Stage stage(gathered);
   stage.aided_parts = {0, 1, 2, 3};
   stage.errand->start(start);
-  stage.errand->take_aided({1, {{0, "a"}, {1, "b"}}, {}, record('m')}, Span(30), start + 30ms);
+  stage.errand->take_aided(frame({{0, "a"}, {1, "b"}}, {}, record('m')), Span(30), start + 30ms);
   stage.errand->on_due(start + 110ms);
   cr_assert(stage.asked.size() == 2);
   stage.take(2, Stage::good("c", record('z')), start + 130ms);
-  stage.errand->take_aided({1, {{2, "c2"}}, {}, record('z')}, Span(140), start + 140ms);
-  stage.errand->take_aided({1, {{3, "d2"}}, {}, record('y')}, Span(150), start + 150ms);
+  stage.errand->take_aided(frame({{2, "c2"}}, {}, record('z')), Span(140), start + 140ms);
+  stage.errand->take_aided(frame({{3, "d2"}}, {}, record('y')), Span(150), start + 150ms);
   cr_expect(stage.final.body == record('z') + record('y'));
   cr_expect(stage.final.fields == "Part-Seals: a, b, c, d2\r\nParts-Missing: 0\r\n");
 }
