--- a/src/programs/desk.cpp
+++ b/src/programs/desk.cpp
@@ -19,7 +19,7 @@
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
   const StatusLine line = status_of(kind);
-  Reply reply{line.status, line.reason, "Content-Type: application/json\r\n", Json::writeString(builder, value) + "\n", false};
+  Reply reply{line.status, line.reason, "Content-Type: application/json\r\n", Json::writeString(builder, value) + "\n"};
   if (kind == Kind::wrong_method) reply.fields += "Allow: GET, PUT\r\n";
   if (line.status == 503) reply.fields += "Retry-After: 0.5\r\n";
   return reply;
@@ -28,7 +28,7 @@
 }  // namespace
 
 Desk::Desk(const Startup& startup, Ring<CoreEvent>& events)
-    : address_(startup.control), events_(events), server_(poller_, schedule_, *this, 256),
+    : address_(startup.control), events_(events), server_(poller_, schedule_, *this, 256, startup.memory_bytes / 8),
       outcomes_(1024, [this] { poller_.wake(); }) {
   server_.set_limits({32768, most_document, Span(5000), Span(15000)});
 }
@@ -55,7 +55,7 @@
       } else if (is_read && outcome.body.empty()) {
         finish(outcome.token, json_reply(Kind::no_rule, "no configuration was taken yet"), now);
       } else {
-        Reply reply{200, "OK", "Content-Type: application/json\r\n", is_read ? std::move(outcome.body) : "{}\n", false};
+        Reply reply{200, "OK", "Content-Type: application/json\r\n", is_read ? std::move(outcome.body) : "{}\n"};
         finish(outcome.token, std::move(reply), now);
       }
     }
--- a/src/programs/lookout.cpp
+++ b/src/programs/lookout.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t most_head = 16384, most_page = 4 << 20, most_entries = 100000;
+constexpr int most_pages = 2000;
 constexpr Span page_wait{1500}, probe_wait{1000};
 
 std::string encode_query(const std::string& text) {
@@ -136,6 +137,7 @@
   if (!lookout->order_->is_observing) return;
   entries.clear();
   token.clear();
+  pages = 0;
   lookout->start_page(now);
 }
 
@@ -168,7 +170,7 @@
   const Json::Value& next = root["next_token"];
   const std::string token = next.isString() ? next.asString() : "";
   if (!next.isNull() && !next.isString()) return false;
-  if (!token.empty() && token == listing_.token) return false;  // a token without end
+  if (!token.empty() && (token == listing_.token || ++listing_.pages > most_pages)) return false;  // a token without end
   listing_.token = token;
   return true;
 }
--- a/src/programs/lookout.h
+++ b/src/programs/lookout.h
@@ -39,6 +39,7 @@
     bool is_waiting = false;
     std::vector<RosterEntry> entries;
     std::string token;
+    int pages = 0;
     Span pause{0};  // grows while the platform refuses
     void on_due(Moment now) override;
   };
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -55,8 +55,8 @@
 }
 
 Traffic::Traffic(const Startup& startup, LifeId life)
-    : startup_(startup), server_(poller_, schedule_, *this, static_cast<std::size_t>(startup.file_handles) / 3), readiness_(*this),
-      ready_server_(poller_, schedule_, readiness_, 64), views_(64, [this] { poller_.wake(); }),
+    : startup_(startup), server_(poller_, schedule_, *this, static_cast<std::size_t>(startup.file_handles) / 3, startup.memory_bytes / 4), readiness_(*this),
+      ready_server_(poller_, schedule_, readiness_, 64, 1 << 20), views_(64, [this] { poller_.wake(); }),
       reserve_(startup.extra_tries, startup.retry_span, Clock::now()), picker_({startup.locality, startup.region}, life.value),
       draw_(static_cast<std::uint32_t>(life.value)), aid_events_(4096, [this] { poller_.wake(); }), life_(life) {}
 
@@ -240,7 +240,8 @@
     reply = reply_of(answer.kind);
     if (answer.retry_after > Span(0)) reply.fields += "Retry-After: " + std::to_string(static_cast<double>(answer.retry_after.count()) / 1000) + "\r\n";
   } else {
-    reply = {answer.status, std::move(answer.reason), std::move(answer.fields), std::move(answer.body), false};
+    reply = {answer.status, std::move(answer.reason), std::move(answer.fields), std::move(answer.body)};
+    reply.is_bodiless = trip->method == "HEAD" && !errand.is_gathering();
     if (errand.is_gathering()) reply.fields += std::string(field::try_id) + ": " + trip->try_id + "\r\n";
   }
   visit->answer(std::move(reply), now);
@@ -282,7 +283,7 @@
 void Traffic::Readiness::on_request(Visit& visit, Moment now) {
   const std::string& target = visit.request().getURI();
   if (target.substr(0, target.find('?')) != row_of(Call::readiness).path) return visit.answer(reply_of(Kind::no_rule), now);
-  if (traffic_.is_ready()) return visit.answer({200, "OK", "", "ready\n", false}, now);
+  if (traffic_.is_ready()) return visit.answer({200, "OK", "", "ready\n"}, now);
   visit.answer(reply_of(traffic_.is_leaving_ ? Kind::draining : Kind::not_ready), now);
 }
 
--- a/src/programs/wire.cpp
+++ b/src/programs/wire.cpp
@@ -124,7 +124,7 @@
   if (!trip_->asker->is_gathering()) {
     outcome.reason = response.getReason();
     for (const auto& [name, value] : response)
-      if (!is_hop_field(name)) ((outcome.fields += name) += ": ") += value + "\r\n";
+      if (!is_hop_field(name) || (trip_->method == "HEAD" && is_same_name(name, "Content-Length"))) ((outcome.fields += name) += ": ") += value + "\r\n";
   }
   outcome.body = std::move(caller.reader().body());
   const std::size_t part = part_;
--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -11,7 +11,7 @@
 std::string write_reply(const Reply& reply, bool should_close, bool is_head, Span quiet) {
   std::string text = "HTTP/1.1 " + std::to_string(reply.status) + " " + reply.reason + "\r\n";
   text += reply.fields;
-  if (reply.status != 204 && reply.status != 304) text += "Content-Length: " + std::to_string(reply.body.size()) + "\r\n";
+  if (reply.status != 204 && reply.status != 304 && !reply.is_bodiless) text += "Content-Length: " + std::to_string(reply.body.size()) + "\r\n";
   if (should_close) text += "Connection: close\r\n";
   else text += "Keep-Alive: timeout=" + std::to_string(std::max<std::int64_t>(1, quiet.count() / 1000 - 1)) + "\r\n";
   text += "\r\n";
@@ -23,7 +23,7 @@
 
 Reply reply_of(Kind kind, const std::string& text) {
   const StatusLine line = status_of(kind);
-  Reply reply{line.status, line.reason, "Content-Type: text/plain\r\n", text.empty() ? make_error_code(kind).message() : text, false};
+  Reply reply{line.status, line.reason, "Content-Type: text/plain\r\n", text.empty() ? make_error_code(kind).message() : text};
   reply.body += "\n";
   return reply;
 }
@@ -42,6 +42,7 @@
   has_continued_ = false;
   is_fresh_ = true;
   moved_ = now;
+  count_held();
   server_.schedule_.set(*this, now + server_.limits_.quiet);
 }
 
@@ -68,11 +69,19 @@
     if (state_ == State::closing) continue;
     in_.append(bytes, got.count);
     moved_ = now;
+    count_held();
+    if (state_ == State::reading && server_.held_ > server_.most_held_) return refuse(Kind::overloaded, now);
     if (state_ == State::reading) advance(now);
     if (got.count < sizeof bytes) return;
   }
 }
 
+void Visit::count_held() {
+  const std::size_t holds = in_.size() + out_.size() - sent_ + reader_.body().size();
+  server_.held_ += holds - held_;
+  held_ = holds;
+}
+
 void Visit::advance(Moment now) {
   if (in_.empty() && is_fresh_) return;
   if (is_fresh_) {
@@ -114,6 +123,7 @@
   server_.schedule_.set(*this, now + server_.limits_.quiet);
   moved_ = now;
   flush(now);
+  if (state_ != State::closed) count_held();
 }
 
 void Visit::flush(Moment now) {
@@ -168,6 +178,8 @@
 void Visit::close() {
   if (state_ == State::closed) return;
   state_ = State::closed;
+  server_.held_ -= held_;
+  held_ = 0;
   server_.schedule_.drop(*this);
   server_.poller_.leave(channel_.socket());
   const auto found = server_.visits_.find(id_);
--- a/src/transport/server.h
+++ b/src/transport/server.h
@@ -25,6 +25,7 @@
   std::string fields;  // whole lines, each with its end
   std::string body;
   bool should_close = false;
+  bool is_bodiless = false;  // to HEAD: `fields` tell the length, if anybody knows it
 };
 Reply reply_of(Kind kind, const std::string& text = {});
 
@@ -56,6 +57,7 @@
   void refuse(Kind kind, Moment now);
   void start_reading(Moment now);
   void close();
+  void count_held();
 
   Server& server_;
   VisitId id_;
@@ -63,7 +65,7 @@
   MessageReader reader_;
   State state_ = State::reading;
   std::string in_, out_;
-  std::size_t sent_ = 0;
+  std::size_t sent_ = 0, held_ = 0;
   bool should_close_ = false, is_head_ = false, has_continued_ = false, has_ended_ = false;
   bool is_fresh_ = true;  // nothing of the next request has come yet
   Moment began_{}, moved_{};
@@ -77,8 +79,8 @@
     virtual void on_request(Visit& visit, Moment now) = 0;
     virtual void on_gone(Visit& visit) = 0;  // the client left while its request was handled
   };
-  Server(Poller& poller, Schedule& schedule, Handler& handler, std::size_t most_visits)
-      : poller_(poller), schedule_(schedule), handler_(handler), most_visits_(most_visits) {}
+  Server(Poller& poller, Schedule& schedule, Handler& handler, std::size_t most_visits, std::size_t most_held)
+      : poller_(poller), schedule_(schedule), handler_(handler), most_visits_(most_visits), most_held_(most_held) {}
 
   Fault open(const Address& address);
   void stop_admitting();
@@ -96,7 +98,8 @@
   Poller& poller_;
   Schedule& schedule_;
   Handler& handler_;
-  std::size_t most_visits_;
+  std::size_t most_visits_, most_held_;
+  std::size_t held_ = 0;  // invariant: the sum of what the visits hold in their buffers, as last counted
   VisitLimits limits_;
   bool is_leaving_ = false;
   Listener listener_;
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -12,14 +12,15 @@
 // A server and a caller on one poller, over loopback, on a port found free.
 class Pair : public Server::Handler, public CallOwner {
  public:
-  Pair() : server_(poller, schedule, *this, 16) {
+  Pair() : server_(poller, schedule, *this, 16, 1 << 20) {
     for (int port = 20000; port < 60000 && !address.port; ++port)
       if (!server_.open({"127.0.0.1", port})) address = {"127.0.0.1", port};
+    server_.set_limits({16384, 4 << 20, Span(3000), Span(15000)});
     caller = std::make_unique<Caller>(poller, *this, address, 65536, 64u << 20);
   }
   void on_request(Visit& visit, Moment now) override {
     paths.push_back(visit.request().getURI());
-    visit.answer({200, "OK", "Try-Id: " + visit.request().get("Try-Id", "") + "\r\n", body, false}, now);
+    visit.answer({200, "OK", "Try-Id: " + visit.request().get("Try-Id", "") + "\r\n", body}, now);
   }
   void on_gone(Visit&) override {}
   void on_outcome(Caller&, Moment) override { is_over = true; }
@@ -65,6 +66,15 @@
   cr_expect(pair.paths == both);
 }
 
+// Bodies that together pass the bound are refused before they are read.
+Test(server, beyond_its_memory_a_request_is_refused_with_a_promise) {
+  Pair pair;
+  cr_assert(pair.caller->ask("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000\r\n\r\n" + std::string(1500000, 'x'), false));
+  pair.run();
+  cr_expect(pair.paths.empty());
+  cr_expect(pair.caller->reader().response().getStatus() == 503 || pair.breakdown == Kind::broke_off);
+}
+
 // A surplus answer in the place of the next one is told by its id, and the connection is not used again.
 Test(caller, an_answer_to_another_request_is_passed_over) {
   Pair pair;
