--- a/src/programs/broker_program.cpp
+++ b/src/programs/broker_program.cpp
@@ -16,7 +16,6 @@
     return 1;
   }
   Signals signals;
-  signals.should_reload(startup_path);
   std::random_device device;
   const LifeId life{(static_cast<std::uint64_t>(device()) << 32) | device() | 1u};
   Traffic traffic(startup, life);
@@ -31,17 +30,7 @@
   follower.start();
   traffic.start();
   LOG(INFO) << "broker: started as " << startup.node_name;
-  while (!signals.should_stop()) {
-    signals.wait(1000);
-    if (!signals.should_reload(startup_path)) continue;
-    Startup changed;
-    if (Fault found = read_startup(startup_path, false, changed)) {
-      LOG(ERROR) << "startup: kept as it was: " << found.text();
-      continue;
-    }
-    LOG(INFO) << "startup: read again";
-    follower.set_contacts(changed.contacts);
-  }
+  signals.serve(startup_path, false, [&](const Startup& changed) { follower.set_contacts(changed.contacts); });
   follower.set_leaving();
   traffic.leave();
   traffic.join();
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -44,7 +44,7 @@
       events_(4096, [this] { waker_.wake(); }), contacts_(4, [this] { waker_.wake(); }),
       agreement_(std::move(durable), agreement_options(startup, life, address_),
                  inner_addresses(startup.contacts, startup.inner_port), Clock::now()),
-      registry_(registry_options(startup)), rollout_(startup.rollout_wait) {}
+      registry_(registry_options(startup)), rollout_(startup.rollout_wait), steps_(most_steps) {}
 
 Fault Core::open() { return hub_.open(context_, Address{startup_.ip_address, startup_.inner_port}); }
 
@@ -70,11 +70,6 @@
   if (const auto found = spokes_.find(address); found != spokes_.end()) found->second->send(bytes);
 }
 
-void Core::note(Edition edition, const char* what, Moment now) {
-  steps_.push_back({edition, what, now});
-  if (steps_.size() > most_steps) steps_.pop_front();
-}
-
 void Core::run() {
   Moment leave_by = Moment::max();
   std::vector<void*> handles;
@@ -180,7 +175,7 @@
 
 void Core::add_call(OperatorCall call, std::string origin, std::uint64_t origin_token, Moment now) {
   const std::uint64_t token = ++last_call_;
-  if (!call.is_read) note(call.edition, origin.empty() ? "taken" : "passed on", now);
+  if (!call.is_read) steps_.note(call.edition, origin.empty() ? "taken" : "passed on", now);
   calls_[token] = {std::move(call), std::move(origin), origin_token, {}, now + call_wait};
 }
 
@@ -243,7 +238,7 @@
   const bool is_new_edition = !noted_ || noted_->edition != agreement_.committed()->edition;
   noted_ = agreement_.committed();
   if (!is_new_edition || noted_->edition.value == 0) return;
-  note(noted_->edition, "committed", now);
+  steps_.note(noted_->edition, "committed", now);
   rollout_.commit(noted_->edition, now);
   LOG(INFO) << "agree: edition " << noted_->edition.value << " committed";
   ConfigurationCapture capture;
@@ -256,8 +251,8 @@
   for (const Service& service : configuration_->services) services.insert(service.name);
   registry_.name_services(std::move(services));
   ordered_mark_ = ~0ull;
-  for (const auto& [from, broker] : brokers_) send_beat(broker.route, now);
-  if (!brokers_.empty()) note(noted_->edition, "sent", now);
+  for (const auto& [from, broker] : brokers_) send_beat(broker, now);
+  if (!brokers_.empty()) steps_.note(noted_->edition, "sent", now);
 }
 
 }  // namespace saddlewing
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -1,7 +1,6 @@
 #pragma once
 // The agree thread of a registry: agreement, the registry of backends, and the brokers that follow.
 #include <atomic>
-#include <deque>
 #include <map>
 #include <thread>
 
@@ -12,6 +11,7 @@
 #include "programs/lookout.h"
 #include "programs/rings.h"
 #include "programs/vault.h"
+#include "protocol/steps.h"
 #include "state/configuration.h"
 #include "state/startup.h"
 #include "transport/link.h"
@@ -45,6 +45,7 @@
   struct Broker {
     std::string route, from, region;
     bool is_ready = false;
+    std::uint64_t seats_mark = 0;  // of the seats it knows
     Edition held;
     std::uint64_t sent_mark = 0;
     Moment heard;
@@ -69,10 +70,9 @@
   void tend_registry(Moment now);
   void tend_brokers(Moment now);
   void tend_rollout(Moment now);
-  void send_beat(const std::string& route, Moment now);
+  void send_beat(const Broker& broker, Moment now);
   void send_to(const std::string& address, const std::string& bytes);
   void reach(const std::string& address);
-  void note(Edition edition, const char* what, Moment now);
   FrameHead head() const { return {FrameKind::ballot, life_, address_}; }
 
   const Startup startup_;
@@ -101,12 +101,7 @@
   std::uint64_t ordered_mark_ = ~0ull;
   Moment registry_due_{}, foreign_logged_{};
   std::uint64_t foreign_ = 0;
-  struct Stamped {
-    Edition edition;
-    const char* what;
-    Moment when;
-  };
-  std::deque<Stamped> steps_;
+  StepLog steps_;
   std::atomic<bool> should_leave_ = false, has_left_ = false;
   std::thread thread_;
 };
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -75,7 +75,7 @@
   }
 }
 
-void Core::send_beat(const std::string& route, Moment now) {
+void Core::send_beat(const Broker& to, Moment now) {
   Beat beat;
   if (agreement_.committed()) beat.edition = agreement_.committed()->edition;
   beat.in_force = rollout_.in_force();
@@ -84,9 +84,13 @@
   beat.brokers = brokers_.size();
   beat.registries = agreement_.known_addresses();
   beat.registries.push_back(address_);
-  for (const auto& [from, broker] : brokers_)
-    if (broker.is_ready) beat.seats.push_back({from, broker.region});
-  hub_.send(route, encode(head(), beat));
+  for (const auto& [from, broker] : brokers_) {
+    if (!broker.is_ready) continue;
+    beat.seats.push_back({from, broker.region});
+    beat.seats_mark = beat.seats_mark * 31 + std::hash<std::string>{}(from + broker.region);
+  }
+  if (beat.seats_mark == to.seats_mark) beat.seats.clear();
+  hub_.send(to.route, encode(head(), beat));
 }
 
 void Core::take_follow(const std::string& route, const FrameHead& from, const Follow& follow, Moment now) {
@@ -96,10 +100,11 @@
   broker.from = from.from;
   broker.region = follow.region;
   broker.is_ready = follow.is_ready;
+  broker.seats_mark = follow.seats_mark;
   broker.held = follow.edition;
   broker.heard = now;
   broker.sent_mark = follow.roster_life == life_.value ? follow.roster_mark : 0;
-  send_beat(route, now);
+  send_beat(broker, now);
   const EntryCapture& committed = agreement_.committed();
   if (follow.wants_body && committed && committed->edition > follow.edition)
     hub_.send(route, encode(head(), Body{committed->edition, committed->body}));
@@ -120,8 +125,8 @@
   for (const auto& [from, broker] : brokers_) held.push_back(broker.held);
   const Rollout::Turn turn = rollout_.advance(held, now);
   if (turn == Rollout::Turn::none) return;
-  note(rollout_.in_force(), turn == Rollout::Turn::held_by_all ? "held by all" : "waited enough", now);
-  for (const auto& [from, broker] : brokers_) send_beat(broker.route, now);
+  steps_.note(rollout_.in_force(), turn == Rollout::Turn::held_by_all ? "held by all" : "waited enough", now);
+  for (const auto& [from, broker] : brokers_) send_beat(broker, now);
 }
 
 void Core::take_trace(const std::string& route, Moment now) {
@@ -130,8 +135,7 @@
   traced.role = "registry";
   if (agreement_.committed()) traced.held = agreement_.committed()->edition;
   traced.is_leader = agreement_.is_leader();
-  for (const Stamped& step : steps_)
-    traced.steps.push_back({step.edition, step.what, static_cast<std::uint64_t>(span_between(step.when, now).count())});
+  traced.steps = steps_.tell(now);
   traced.registries = agreement_.known_addresses();
   traced.registries.push_back(address_);
   for (const auto& [from, broker] : brokers_) traced.brokers.push_back(from);
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -10,13 +10,13 @@
 constexpr Span fetch_again{300};  // a body that did not come is asked for elsewhere
 constexpr Span eager_follow{50};  // until it is ready
 constexpr Span tombstone{60000};
-constexpr std::size_t most_steps = 64;
+constexpr std::size_t most_steps = 64, most_aides = 4;  // most_aides: of one region
 
 }  // namespace
 
 Follower::Follower(const Startup& startup, LifeId life, std::function<void(ViewCapture)> show, std::function<void(AidEvent)> tell)
     : startup_(startup), life_(life), address_(Address{startup.ip_address, startup.inner_port}.text()), show_(std::move(show)),
-      tell_(std::move(tell)), contacts_(4, [this] { waker_.wake(); }), outs_(1024, [this] { waker_.wake(); }), turnover_(startup.rollout_wait * 2), born_(Clock::now()) {
+      tell_(std::move(tell)), contacts_(4, [this] { waker_.wake(); }), outs_(1024, [this] { waker_.wake(); }), turnover_(startup.rollout_wait * 2), born_(Clock::now()), steps_(most_steps) {
   contacts_.push(startup.contacts);
 }
 
@@ -75,7 +75,7 @@
 
 void Follower::follow_one(Source& source, bool wants_body) {
   source.spoke->send(encode({FrameKind::follow, life_, address_},
-                           Follow{turnover_.held(), source.life, source.mark, wants_body, startup_.region, is_ready_ && !is_leaving_}));
+                           Follow{turnover_.held(), source.life, source.mark, wants_body, startup_.region, is_ready_ && !is_leaving_, seats_mark_}));
 }
 
 void Follower::follow_all(Moment now) {
@@ -117,16 +117,7 @@
   source.is_filled = beat.is_filled;
   if (beat.is_confirmed) {
     registries_ = beat.registries;
-    std::vector<BrokerSeat> seats;
-    for (const BrokerSeat& seat : beat.seats)
-      if (seat.region != startup_.region) seats.push_back(seat);
-    if (seats != seats_) {
-      seats_ = std::move(seats);
-      has_news_ = true;
-      std::erase_if(aides_, [&](const auto& aide) {
-        return std::none_of(seats_.begin(), seats_.end(), [&](const BrokerSeat& seat) { return seat.address == aide.first; });
-      });
-    }
+    if (beat.seats_mark != seats_mark_ && (beat.seats_mark == 0 || !beat.seats.empty())) take_seats(beat);
     if (beat.brokers != brokers_) {
       brokers_ = std::max<std::uint64_t>(1, beat.brokers);
       has_news_ = true;
@@ -136,6 +127,26 @@
   turn(now);
 }
 
+// Of each other region a few, spread by hash so that every broker is some others' choice.
+void Follower::take_seats(const Beat& beat) {
+  seats_mark_ = beat.seats_mark;
+  std::map<std::string, std::vector<std::pair<std::size_t, BrokerSeat>>> by_region;
+  for (const BrokerSeat& seat : beat.seats)
+    if (seat.region != startup_.region) by_region[seat.region].push_back({std::hash<std::string>{}(address_ + seat.address), seat});
+  std::vector<BrokerSeat> seats;
+  for (auto& [region, choices] : by_region) {
+    std::sort(choices.begin(), choices.end());
+    if (choices.size() > most_aides) choices.resize(most_aides);
+    for (auto& [hash, seat] : choices) seats.push_back(std::move(seat));
+  }
+  if (seats == seats_) return;
+  seats_ = std::move(seats);
+  has_news_ = true;
+  std::erase_if(aides_, [&](const auto& aide) {
+    return std::none_of(seats_.begin(), seats_.end(), [&](const BrokerSeat& seat) { return seat.address == aide.first; });
+  });
+}
+
 // Asks the registry heard last that holds the newest edition for its body.
 void Follower::fetch(Moment now) {
   if (now < fetch_due_) return;
@@ -158,7 +169,7 @@
   }
   turnover_.take(std::move(capture), now);
   fetch_due_ = {};
-  note(body.edition, "held", now);
+  steps_.note(body.edition, "held", now);
   LOG(INFO) << "follow: edition " << body.edition.value << " held";
   turn(now);
   follow_due_ = now;
@@ -167,12 +178,7 @@
 void Follower::turn(Moment now) {
   if (!turnover_.turn(is_ready_, now)) return;
   has_news_ = true;
-  note(turnover_.serving()->edition, "in force", now);
-}
-
-void Follower::note(Edition edition, const char* what, Moment now) {
-  steps_.push_back({edition, what, now});
-  if (steps_.size() > most_steps) steps_.pop_front();
+  steps_.note(turnover_.serving()->edition, "in force", now);
 }
 
 void Follower::take_roster(Source& source, const FrameHead& head, const Roster& roster, Moment now) {
@@ -235,8 +241,7 @@
     traced.node = startup_.node_name;
     traced.role = "broker";
     traced.held = turnover_.held();
-    for (const Stamped& step : steps_)
-      traced.steps.push_back({step.edition, step.what, static_cast<std::uint64_t>(span_between(step.when, now).count())});
+    traced.steps = steps_.tell(now);
     traced.registries = registries_;
     hub_.send(parcel->route, encode({FrameKind::traced, life_, address_}, traced));
   }
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -1,7 +1,6 @@
 #pragma once
 // The follow thread of a broker: keeps captures of the configuration and of the registry of backends.
 #include <atomic>
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -11,7 +10,7 @@
 
 #include "coordination/registry.h"
 #include "coordination/rollout.h"
-#include "protocol/frames.h"
+#include "protocol/steps.h"
 #include "state/configuration.h"
 #include "state/startup.h"
 #include "transport/link.h"
@@ -78,7 +77,6 @@
   void fetch(Moment now);
   void check_ready(Moment now);
   void turn(Moment now);
-  void note(Edition edition, const char* what, Moment now);
   void publish();
   void take_hub(Moment now);
   void send_aids();
@@ -94,7 +92,9 @@
   Ring<std::vector<Address>> contacts_;
   Ring<AidOut> outs_;
   std::map<std::string, std::unique_ptr<Spoke>> aides_;  // brokers asked for aid, by inner address
-  std::vector<BrokerSeat> seats_;
+  std::vector<BrokerSeat> seats_;  // ready brokers of other regions, a few of each
+  std::uint64_t seats_mark_ = 0;   // of the list they were taken from
+  void take_seats(const Beat& beat);
   std::map<std::string, Source> sources_;  // by inner address
   std::vector<std::string> seeds_, registries_;
   RosterBook book_;
@@ -102,12 +102,7 @@
   Moment born_, follow_due_{}, fetch_due_{};
   bool is_ready_ = false, has_news_ = false;
   std::uint64_t brokers_ = 1;
-  struct Stamped {
-    Edition edition;
-    const char* what;
-    Moment when;
-  };
-  std::deque<Stamped> steps_;
+  StepLog steps_;
   std::atomic<bool> should_stop_ = false, is_leaving_ = false;
   std::thread thread_;
 };
--- a/src/programs/registry_program.cpp
+++ b/src/programs/registry_program.cpp
@@ -60,7 +60,6 @@
     return 1;
   }
   Signals signals;
-  signals.should_reload(startup_path);
   Store store(startup.data_folder);
   auto core = std::make_unique<Core>(startup, found_or_fresh(startup, store), LifeId{draw_number()});
   Desk desk(startup, core->events());
@@ -76,17 +75,7 @@
   lookout.start();
   core->start(desk, lookout, vault);
   LOG(INFO) << "registry: started as " << startup.node_name;
-  while (!signals.should_stop()) {
-    signals.wait(1000);
-    if (!signals.should_reload(startup_path)) continue;
-    Startup changed;
-    if (Fault found = read_startup(startup_path, true, changed)) {
-      LOG(ERROR) << "startup: kept as it was: " << found.text();
-      continue;
-    }
-    LOG(INFO) << "startup: read again";
-    core->set_contacts(changed.contacts);
-  }
+  signals.serve(startup_path, true, [&](const Startup& changed) { core->set_contacts(changed.contacts); });
   core->leave();
   core->join();
   desk.stop();
--- a/src/programs/signals.h
+++ b/src/programs/signals.h
@@ -5,8 +5,11 @@
 #include <atomic>
 #include <csignal>
 #include <poll.h>
+#include <functional>
+#include <glog/logging.h>
 #include <string>
 
+#include "state/startup.h"
 #include "transport/ring.h"
 
 namespace saddlewing {
@@ -29,7 +32,23 @@
     pollfd waiting{own_.descriptor(), POLLIN, 0};
     if (::poll(&waiting, 1, milliseconds) > 0) own_.clear();
   }
-  bool should_stop() const { return should_stop_; }
+  // Until SIGTERM; a startup read again goes to `take`, a wrong one is logged and the old one stays.
+  void serve(const std::string& path, bool is_registry, const std::function<void(const Startup&)>& take) {
+    should_reload(path);
+    while (!should_stop_) {
+      wait(1000);
+      if (!should_reload(path)) continue;
+      Startup changed;
+      if (Fault found = read_startup(path, is_registry, changed)) {
+        LOG(ERROR) << "startup: kept as it was: " << found.text();
+        continue;
+      }
+      LOG(INFO) << "startup: read again";
+      take(changed);
+    }
+  }
+
+ private:
   // True once after SIGHUP or after the file changed without one.
   bool should_reload(const std::string& path) {
     struct stat facts {};
@@ -41,7 +60,6 @@
     return should_reload_.exchange(false);
   }
 
- private:
   inline static std::atomic<bool> should_stop_ = false, should_reload_ = false;
   inline static const Waker* waker_ = nullptr;
   Waker own_;
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -107,7 +107,7 @@
 std::string encode(const FrameHead& head, const Follow& value) {
   Writer writer = open_frame(head, FrameKind::follow);
   writer.number(value.edition.value).number(value.roster_life).number(value.roster_mark).number(value.wants_body);
-  writer.text(value.region).number(value.is_ready);
+  writer.text(value.region).number(value.is_ready).number(value.seats_mark);
   return writer.take();
 }
 
@@ -118,6 +118,7 @@
   value.wants_body = reader.number();
   value.region = reader.text();
   value.is_ready = reader.number();
+  value.seats_mark = reader.number();
   return reader.is_whole();
 }
 
@@ -125,7 +126,7 @@
   Writer writer = open_frame(head, FrameKind::beat);
   writer.number(value.edition.value).number(value.in_force.value).number(value.is_confirmed).number(value.is_filled).number(value.brokers);
   write_texts(writer, value.registries);
-  writer.number(value.seats.size());
+  writer.number(value.seats_mark).number(value.seats.size());
   for (const BrokerSeat& seat : value.seats) writer.text(seat.address).text(seat.region);
   return writer.take();
 }
@@ -137,6 +138,7 @@
   value.is_filled = reader.number();
   value.brokers = reader.number();
   read_texts(reader, value.registries);
+  value.seats_mark = reader.number();
   value.seats.resize(reader.count(16));
   for (BrokerSeat& seat : value.seats) {
     seat.address = reader.text();
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -69,6 +69,7 @@
   bool wants_body = false;
   std::string region;
   bool is_ready = false;
+  std::uint64_t seats_mark = 0;  // of the seats it knows
 };
 
 // A broker as others may ask it for aid.
@@ -84,7 +85,8 @@
   bool is_filled = false;     // its roster was refilled since it started
   std::uint64_t brokers = 0;  // brokers heard of late
   std::vector<std::string> registries;  // inner addresses of the core
-  std::vector<BrokerSeat> seats;        // ready brokers
+  std::uint64_t seats_mark = 0;         // of the ready brokers
+  std::vector<BrokerSeat> seats;        // they themselves, unless the broker knows this mark already
 };
 
 struct Body {
