--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -118,7 +118,7 @@
   std::vector<ProbeTarget> targets;
   for (const auto& [id, line] : lines_)
     if (line.entry.phase == Phase::ready && named_.contains(line.entry.service))
-      targets.push_back({id, line.entry.address, line.entry.service});
+      targets.push_back({id, line.entry.address, line.entry.service, line.entry.status != Status::up});
   return targets;
 }
 
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -21,6 +21,7 @@
 
 struct ProbeTarget {
   std::string id, address, service;
+  bool is_awaited = false;  // STARTING or DOWN
 };
 
 // What a broker keeps of the registries: the same lattice, without holds of its own.
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -56,7 +56,7 @@
       for (const Service& service : configuration_->services) paths[service.name] = service.health_path;
       for (const ProbeTarget& target : registry_.targets())
         if (const auto found = paths.find(target.service); found != paths.end())
-          order->targets.push_back({target.id, target.address, found->second});
+          order->targets.push_back({target.id, target.address, found->second, target.is_awaited});
     }
     lookout_->order(std::move(order));
   }
--- a/src/programs/lookout.cpp
+++ b/src/programs/lookout.cpp
@@ -87,7 +87,7 @@
 
 void Lookout::start_probe(Probe& probe, Moment now) {
   Address address;
-  probe.next = now + startup_.renewal;
+  probe.next = now + (probe.target.is_awaited ? startup_.renewal / 4 : startup_.renewal);
   if (!parse_address(probe.target.address, address)) return schedule_.set(probe, probe.next);
   if (!probe.caller || probe.caller->state() == Caller::State::ended) {
     bury(probe.caller);
@@ -97,7 +97,7 @@
                             " HTTP/1.1\r\nHost: " + probe.target.address + "\r\n" + field::meant_server + ": " +
                             probe.target.id + "\r\n\r\n";
   probe.is_waiting = probe.caller->ask(bytes, false);
-  schedule_.set(probe, probe.is_waiting ? now + probe_wait : probe.next);
+  schedule_.set(probe, probe.is_waiting ? now + std::min(probe_wait, startup_.renewal / 2) : probe.next);
 }
 
 void Lookout::Probe::on_due(Moment now) {
--- a/src/programs/rings.h
+++ b/src/programs/rings.h
@@ -39,6 +39,7 @@
 
 struct WatchTarget {
   std::string id, address, health_path;
+  bool is_awaited = false;  // not UP yet, or no more: probed more often
 };
 struct WatchOrder {  // agree to watch: what to do from now on
   bool is_observing = false;
--- a/tests/agreement_test.cpp
+++ b/tests/agreement_test.cpp
@@ -172,6 +172,39 @@
   cr_expect(cluster.run_until([&] { return cluster.has_leader() && cluster.leader() != leader; }, 300ms));
 }
 
+Test(agreement, a_core_of_one_and_a_core_of_five_agree_as_well) {
+  for (const std::size_t count : {std::size_t{1}, std::size_t{5}}) {
+    Cluster cluster(count);
+    cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+    const std::string leader = cluster.leader();
+    for (std::size_t stopped = 0; stopped < count / 2; ++stopped)
+      for (const std::string& address : cluster.founders())
+        if (address != leader && cluster.at(address).agreement) {
+          cluster.stop(address);
+          break;
+        }
+    const std::uint64_t token = cluster.propose(2, "two");
+    cr_expect(cluster.run_until([&] { return cluster.is_done(leader, token); }), "of %zu", count);
+  }
+}
+
+// All processes end at once, wherever a change stands; whatever was acknowledged is there when they are back.
+Test(agreement, an_acknowledged_change_survives_the_end_of_all_at_any_moment) {
+  for (int moment = 0; moment < 40; ++moment) {
+    Cluster cluster(3);
+    cluster.run_until([&] { return cluster.has_leader(); });
+    const std::string leader = cluster.leader();
+    const std::uint64_t token = cluster.propose(6, "six");
+    cluster.run(Span(5 * moment));
+    const bool was_done = cluster.is_done(leader, token);
+    for (const std::string& address : cluster.founders()) cluster.stop(address);
+    for (const std::string& address : cluster.founders()) cluster.start(address);
+    cr_assert(cluster.run_until([&] { return cluster.has_leader(); }, 3000ms));
+    const std::string body = cluster.body_at(cluster.leader());
+    cr_expect(body == "six" || (!was_done && body.empty()), "moment %d", moment);
+  }
+}
+
 // Every letter of a change is lost once, each in turn: the change still comes through, and everywhere the same.
 Test(agreement, any_one_letter_may_be_lost) {
   for (std::uint64_t lost = 1; lost <= 40; ++lost) {
