--- a/src/coordination/errand.cpp
+++ b/src/coordination/errand.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "state/metrics.h"
+
 namespace saddlewing {
 namespace {
 
@@ -83,7 +85,10 @@
     else if (!part.active) fail_part(part, Kind::refused_connection, now);
     return;
   }
-  if (is_extra) ground_.budget(service.name).count_extra(now);
+  if (is_extra) {
+    ground_.budget(service.name).count_extra(now);
+    metrics().add(Metric::further_askings);
+  }
   ++part.sent;
   ++part.active;
   part.asked = now;
@@ -216,6 +221,7 @@
   for (const Part& part : parts_)
     if (part.is_done) (seals += seals.empty() ? "" : ", ") += part.seal;
   FinalAnswer answer;
+  if (done_ < parts_.size()) metrics().add(Metric::answers_partial);
   answer.fields = "Part-Seals: " + seals + "\r\nParts-Missing: " + std::to_string(parts_.size() - done_) + "\r\n";
   answer.body = best_.take();
   finish(std::move(answer), now);
--- a/src/programs/aids.cpp
+++ b/src/programs/aids.cpp
@@ -117,6 +117,7 @@
 
 // Another broker's asking: backends of this region, once each.
 void Traffic::take_aid(AidIn& in, Moment now) {
+  metrics().add(Metric::aids);
   Aid& aid = in.aid;
   auto trip = std::make_shared<Trip>(*this, VisitId{});
   trip->route = std::move(in.route);
--- a/src/programs/broker_program.cpp
+++ b/src/programs/broker_program.cpp
@@ -27,10 +27,14 @@
       LOG(ERROR) << "startup: " << found.text();
       return 1;
     }
+  traffic.read_alerts(startup.alert_rules);
   follower.start();
   traffic.start();
   LOG(INFO) << "broker: started as " << startup.node_name;
-  signals.serve(startup_path, false, [&](const Startup& changed) { follower.set_contacts(changed.contacts); });
+  signals.serve(startup_path, false, [&](const Startup& changed) {
+    follower.set_contacts(changed.contacts);
+    traffic.read_alerts(changed.alert_rules);
+  });
   follower.set_leaving();
   traffic.leave();
   traffic.join();
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "state/metrics.h"
+
 namespace saddlewing {
 namespace {
 
@@ -240,6 +242,7 @@
   if (!is_new_edition || noted_->edition.value == 0) return;
   steps_.note(noted_->edition, "committed", now);
   rollout_.commit(noted_->edition, now);
+  metrics().set(Metric::edition, noted_->edition.value);
   LOG(INFO) << "agree: edition " << noted_->edition.value << " committed";
   ConfigurationCapture capture;
   if (Fault found = read_configuration(noted_->body, capture)) {
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "programs/core.h"
+#include "state/metrics.h"
 
 namespace saddlewing {
 namespace {
@@ -37,6 +38,12 @@
     registry_.set_stamp_base(agreement_.term().value << 32);
     LOG(INFO) << "registry: observes the platform";
   }
+  std::int64_t up = 0;
+  for (const auto& [id, line] : registry_.lines()) up += line.entry.status == Status::up;
+  metrics().set(Metric::backends_up, up);
+  metrics().set(Metric::brokers, static_cast<std::int64_t>(brokers_.size()));
+  metrics().set(Metric::evictions, static_cast<std::int64_t>(registry_.evicted()));
+  metrics().set(Metric::leads, agreement_.is_leader());
   const bool has_turned = should_observe != is_observing_;
   is_observing_ = should_observe;
   if (is_observing_) {
--- a/src/programs/desk.cpp
+++ b/src/programs/desk.cpp
@@ -5,6 +5,7 @@
 
 #include "protocol/calls.h"
 #include "state/configuration.h"
+#include "state/metrics.h"
 
 namespace saddlewing {
 namespace {
@@ -67,6 +68,9 @@
 void Desk::on_request(Visit& visit, Moment now) {
   const auto& request = visit.request();
   const std::string& target = request.getURI();
+  if (target == row_of(Call::metrics).path)
+    return visit.answer({200, "OK", "Content-Type: text/plain; version=0.0.4\r\n", metrics().page()}, now);
+  metrics().add(Metric::calls_taken);
   if (target.substr(0, target.find('?')) != row_of(Call::put_settings).path)
     return visit.answer(json_reply(Kind::no_rule, "only /settings is served here"), now);
   if (request.getMethod() == row_of(Call::get_settings).method) return refer(visit, {0, true, {}, {}}, now);
@@ -99,6 +103,7 @@
   const auto found = open_.find(token);
   if (found == open_.end()) return;
   const VisitId id = found->second.visit;
+  if (reply.status == 503) metrics().add(Metric::calls_failed);
   if (found->second.is_read || reply.status != 200)
     LOG(INFO) << "steering: " << (found->second.is_read ? "read" : "change") << " answered " << reply.status << ", "
               << reply.body.size() << " bytes";
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -3,6 +3,8 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <fstream>
+#include <sstream>
 
 #include "protocol/calls.h"
 
@@ -58,7 +60,8 @@
     : startup_(startup), server_(poller_, schedule_, *this, static_cast<std::size_t>(startup.file_handles) / 3, startup.memory_bytes / 4), readiness_(*this),
       ready_server_(poller_, schedule_, readiness_, 64, 1 << 20), views_(64, [this] { poller_.wake(); }),
       reserve_(startup.extra_tries, startup.retry_span, Clock::now()), picker_({startup.locality, startup.region}, life.value),
-      draw_(static_cast<std::uint32_t>(life.value)), aid_events_(4096, [this] { poller_.wake(); }), life_(life) {}
+      draw_(static_cast<std::uint32_t>(life.value)), aid_events_(4096, [this] { poller_.wake(); }), life_(life),
+      alert_rules_(4, [this] { poller_.wake(); }) {}
 
 Fault Traffic::open() {
   if (Fault found = ready_server_.open(startup_.ready_check)) return found;
@@ -73,6 +76,10 @@
     const Moment now = Clock::now();
     auto views = views_.take();
     if (!views.empty()) take_view(std::move(views.back()), now);
+    for (auto& rules : alert_rules_.take()) {
+      alerts_.replace(std::move(rules));
+      if (!alerts_.is_empty()) alert_clock_.on_due(now);
+    }
     for (AidEvent& event : aid_events_.take()) take_aid_event(event, now);
     schedule_.run(now);
     server_.reap();
@@ -132,6 +139,7 @@
   for (const auto& [id, backend] : backends_)
     if (!backend->is_cancelled) by_name_[backend->service].push_back(backend);
   if (!view_->configuration) return;
+  metrics().set(Metric::edition, view_->configuration->edition.value);
   auto table = std::make_shared<Table>();
   table->configuration = view_->configuration;
   std::unordered_map<std::string, std::size_t> indices;
@@ -155,6 +163,13 @@
   const auto& request = visit.request();
   const Rule* rule = table_->configuration->match(request.get("Host", ""), request.getURI());
   if (!rule) return visit.answer(reply_of(Kind::no_rule), now);
+  metrics().add(Metric::requests);
+  if (rule->rank >= alerts_.refuse_from()) {
+    metrics().add(Metric::refusals);
+    Reply reply = reply_of(Kind::overloaded);
+    reply.fields += "Retry-After: 1\r\n";
+    return visit.answer(std::move(reply), now);
+  }
   auto trip = std::make_shared<Trip>(*this, visit.id());
   trip->try_id = request.get(field::try_id, "");
   if (trip->try_id.empty()) return visit.answer(reply_of(Kind::malformed, "a request needs its Try-Id"), now);
@@ -211,6 +226,7 @@
   const auto trip = trips_.find(&asker);
   const auto pointer = backends_.find(backend.id);
   if (trip == trips_.end() || pointer == backends_.end() || pointer->second.get() != &backend) return false;
+  metrics().add(Metric::askings);
   auto& idle = idle_[&backend];
   while (!idle.empty()) {
     Wire* wire = idle.back();
@@ -238,6 +254,8 @@
   Reply reply;
   if (answer.kind != Kind::none) {
     reply = reply_of(answer.kind);
+    if (reply.status >= 500) metrics().add(Metric::answers_own_5xx);
+    if (reply.status == 503) metrics().add(Metric::refusals);
     if (answer.retry_after > Span(0)) reply.fields += "Retry-After: " + std::to_string(static_cast<double>(answer.retry_after.count()) / 1000) + "\r\n";
   } else {
     reply = {answer.status, std::move(answer.reason), std::move(answer.fields), std::move(answer.body)};
@@ -280,8 +298,41 @@
   wires_.erase(found);
 }
 
+void Traffic::read_alerts(const std::string& path) {
+  std::vector<AlertRule> rules;
+  if (!path.empty()) {
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    const Fault found = file ? read_alert_rules(text.str(), rules) : fault(Kind::unreadable, "alert rules");
+    if (found) {
+      LOG(ERROR) << "alerts: " << path << " refused, the rules before it stay: " << found.text();
+      return;
+    }
+    LOG(INFO) << "alerts: " << rules.size() << " rules from " << path;
+  }
+  alert_rules_.push(std::move(rules));
+}
+
+void Traffic::show_gauges() const {
+  metrics().set(Metric::visits, static_cast<std::int64_t>(server_.count()));
+  metrics().set(Metric::errands, static_cast<std::int64_t>(trips_.size()));
+  metrics().set(Metric::ready, is_ready());
+}
+
+void Traffic::AlertClock::on_due(Moment now) {
+  traffic.show_gauges();
+  for (const std::string& turned : traffic.alerts_.evaluate([](Metric metric) { return static_cast<double>(metrics().get(metric)); }, now))
+    LOG(WARNING) << "alerts: " << turned;
+  if (!traffic.alerts_.is_empty()) traffic.schedule_.set(*this, now + 1s);
+}
+
 void Traffic::Readiness::on_request(Visit& visit, Moment now) {
   const std::string& target = visit.request().getURI();
+  if (target == row_of(Call::metrics).path) {
+    traffic_.show_gauges();
+    return visit.answer({200, "OK", "Content-Type: text/plain; version=0.0.4\r\n", metrics().page()}, now);
+  }
   if (target.substr(0, target.find('?')) != row_of(Call::readiness).path) return visit.answer(reply_of(Kind::no_rule), now);
   if (traffic_.is_ready()) return visit.answer({200, "OK", "", "ready\n"}, now);
   visit.answer(reply_of(traffic_.is_leaving_ ? Kind::draining : Kind::not_ready), now);
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/aid.h"
+#include "coordination/alerts.h"
 #include "coordination/errand.h"
 #include "programs/follower.h"
 #include "transport/caller.h"
@@ -67,6 +68,8 @@
   void start();
   void show(ViewCapture view) { views_.push(std::move(view)); }
   void tell(AidEvent event) { aid_events_.push(std::move(event)); }
+  // Rules from now on; a wrong file is logged and the rules before it stay.
+  void read_alerts(const std::string& path);
   void set_sender(std::function<bool(AidOut)> send) { send_ = std::move(send); }
   void leave() {
     should_leave_ = true;
@@ -114,6 +117,13 @@
   void bury(Wire* wire);
   void keep_warm(const BackendPointer& backend);
   void check_leaving(Moment now);
+  void show_gauges() const;
+
+  struct AlertClock final : Scheduled {
+    explicit AlertClock(Traffic& traffic) : traffic(traffic) {}
+    Traffic& traffic;
+    void on_due(Moment now) override;
+  };
 
   const Startup startup_;
   Poller poller_;
@@ -157,6 +167,9 @@
   std::unordered_map<Wire*, std::unique_ptr<Wire>> wires_;
   std::vector<std::unique_ptr<Wire>> graves_;
   std::vector<TripPointer> ended_trips_;
+  Ring<std::vector<AlertRule>> alert_rules_;
+  Alerts alerts_;
+  AlertClock alert_clock_{*this};
   bool is_leaving_ = false;
   Moment left_{};
   std::atomic<bool> should_leave_ = false;
--- a/src/programs/vault.h
+++ b/src/programs/vault.h
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "programs/rings.h"
+#include "state/metrics.h"
 #include "state/store.h"
 
 namespace saddlewing {
@@ -32,6 +33,7 @@
       waker_.clear();
       for (const Agreement::Save& save : saves_.take()) {
         const Fault found = store_.save(save.durable);
+        if (found) metrics().add(Metric::saves_failed);
         if (found) LOG(ERROR) << "disk: save failed: " << found.text();
         events_.push(Saved{save.serial, !found});
       }
--- a/src/programs/wire.cpp
+++ b/src/programs/wire.cpp
@@ -142,6 +142,7 @@
 void Wire::on_breakdown(Caller& caller, Kind kind, Moment now) {
   if (!trip_) return on_idle_end(caller);
   backend_->breaker.fail(now, kind == Kind::refused_connection);
+  metrics().add(Metric::breakdowns);
   const bool may_have_run = caller.has_sent();
   const std::size_t part = part_;
   const TripPointer trip = release();
--- a/src/protocol/calls.h
+++ b/src/protocol/calls.h
@@ -4,7 +4,7 @@
 
 namespace saddlewing {
 
-enum class Call { put_settings, get_settings, readiness, list_backends, probe_backend };
+enum class Call { put_settings, get_settings, readiness, list_backends, probe_backend, metrics };
 
 struct CallRow {
   Call call;
@@ -18,6 +18,7 @@
     {Call::readiness, "GET", "/readiness"},
     {Call::list_backends, "GET", "/backends"},
     {Call::probe_backend, "GET", ""},
+    {Call::metrics, "GET", "/metrics"},
 };
 
 constexpr const CallRow& row_of(Call call) {
--- /dev/null
+++ b/src/state/metrics.cpp
@@ -0,0 +1,57 @@
+#include "state/metrics.h"
+
+namespace saddlewing {
+namespace {
+
+constexpr MetricRow rows[] = {
+    {Metric::requests, "saddlewing_requests_total", "Requests that matched a rule.", true},
+    {Metric::answers_own_5xx, "saddlewing_own_5xx_total", "Answers of our own with a 5xx status.", true},
+    {Metric::refusals, "saddlewing_refusals_total", "Of these, answers that promise that nothing ran.", true},
+    {Metric::answers_partial, "saddlewing_partial_answers_total", "Gathered answers with parts left out.", true},
+    {Metric::askings, "saddlewing_askings_total", "Askings of backends.", true},
+    {Metric::further_askings, "saddlewing_further_askings_total", "Askings beyond the first of a part.", true},
+    {Metric::breakdowns, "saddlewing_breakdowns_total", "Askings that ended without a proper answer.", true},
+    {Metric::aids, "saddlewing_aids_total", "Gathers for other brokers.", true},
+    {Metric::visits, "saddlewing_visits", "Open connections of clients.", false},
+    {Metric::errands, "saddlewing_errands", "Requests under way.", false},
+    {Metric::ready, "saddlewing_ready", "Whether the broker calls itself ready.", false},
+    {Metric::brokers, "saddlewing_brokers", "Brokers heard of late.", false},
+    {Metric::backends_up, "saddlewing_backends_up", "Backends that are UP.", false},
+    {Metric::evictions, "saddlewing_evictions_total", "Holds evicted by the sweep.", true},
+    {Metric::saves_failed, "saddlewing_saves_failed_total", "Saves to disk that failed.", true},
+    {Metric::leads, "saddlewing_leads", "Whether the registry leads.", false},
+    {Metric::calls_taken, "saddlewing_operator_calls_total", "Operators' calls.", true},
+    {Metric::calls_failed, "saddlewing_operator_calls_failed_total", "Operators' calls answered 503.", true},
+    {Metric::edition, "saddlewing_edition", "Edition in force here.", false},
+};
+
+}  // namespace
+
+const MetricRow& row_of(Metric metric) {
+  for (const MetricRow& row : rows)
+    if (row.metric == metric) return row;
+  return rows[0];
+}
+
+bool find_metric(std::string_view name, Metric& metric) {
+  for (const MetricRow& row : rows)
+    if (row.name == name) return metric = row.metric, true;
+  return false;
+}
+
+std::string Metrics::page() const {
+  std::string page;
+  for (const MetricRow& row : rows) {
+    const std::string name(row.name);
+    page += "# HELP " + name + " " + std::string(row.help) + "\n# TYPE " + name + (row.is_counter ? " counter\n" : " gauge\n");
+    page += name + " " + std::to_string(get(row.metric)) + "\n";
+  }
+  return page;
+}
+
+Metrics& metrics() {
+  static Metrics instance;
+  return instance;
+}
+
+}  // namespace saddlewing
--- a/src/state/startup.cpp
+++ b/src/state/startup.cpp
@@ -178,6 +178,7 @@
   reader.truth("options.self_preservation", read.is_preserving);
   reader.span("options.listing_ms", read.listing);
   reader.span("options.follow_ms", read.follow);
+  reader.text("options.alert_rules", read.alert_rules, false);
   reader.span("options.rollout_wait_ms", read.rollout_wait);
   reader.span("options.unconfirmed_wait_ms", read.unconfirmed_wait);
   if (read.election < read.beat * 3) reader.fail("options.election_ms is under three times options.beat_ms");
--- a/src/state/startup.h
+++ b/src/state/startup.h
@@ -43,6 +43,7 @@
   bool is_preserving = true;            // eviction pauses under the threshold
   Span listing{500}, follow{400};       // platform list; broker's beat to the registries
   Span rollout_wait{400};               // a new edition waits this long for brokers that do not hold it yet
+  std::string alert_rules;              // path of a file; empty: none
   Span unconfirmed_wait{2000};          // then a broker serves by what any registry holds committed
 };
 
