--- a/src/coordination/agreement.cpp
+++ b/src/coordination/agreement.cpp
@@ -46,7 +46,8 @@
 
 void Agreement::set_election(Moment now) {
   // Without a leader to wait for, an attempt costs nothing: the vote before the vote disturbs nobody.
-  const Span least = leader_.empty() ? options_.beat / 2 : options_.election;
+  // Attempts that led nowhere wait longer: votes may take long on their way.
+  const Span least = leader_.empty() ? std::min(options_.election, options_.beat / 2 * (1 << std::min(attempts_, 4))) : options_.election;
   const auto extra = static_cast<std::int64_t>(draw_() % static_cast<std::uint64_t>(std::max(least, options_.beat * 2).count()));
   election_ = now + least + Span(extra);
 }
@@ -80,6 +81,7 @@
 
 void Agreement::start_prospect(Moment now) {
   role_ = Role::prospect;
+  ++attempts_;
   leader_id_ = {};
   leader_.clear();
   votes_.clear();
@@ -119,6 +121,7 @@
 
 void Agreement::start_leader(Moment now) {
   role_ = Role::leader;
+  attempts_ = 0;
   leader_id_ = durable_.self;
   leader_ = options_.address;
   peers_.clear();
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -133,6 +133,7 @@
   std::string leader_;
   Moment heard_leader_{}, due_{}, election_{}, beat_due_{};
   bool is_stranger_ = false;
+  int attempts_ = 0;  // to lead, since a leader was heard
   std::map<MemberId, bool> votes_;
   std::map<MemberId, Peer> peers_;     // of a leader: members but itself, and learners
   std::map<MemberId, Moment> learners_;  // when they last asked or answered
--- a/src/coordination/ballots.cpp
+++ b/src/coordination/ballots.cpp
@@ -73,6 +73,7 @@
   leader_id_ = ballot.from;
   leader_ = ballot.address;
   heard_leader_ = now;
+  attempts_ = 0;
   is_stranger_ = false;
   set_election(now);
   const auto own = [&] { return std::pair(durable_.entry->term, durable_.entry->index); };
--- a/src/programs/lookout.cpp
+++ b/src/programs/lookout.cpp
@@ -162,8 +162,8 @@
     const std::string state = text_of(value, "state");
     if (entry.id.empty() || entry.service.empty() || entry.address.empty()) continue;  // of no use to anyone
     entry.phase = state == "emptying" ? Phase::emptying : Phase::ready;
-    if (value["capacity"].isNumeric()) entry.capacity = std::max(1, static_cast<int>(value["capacity"].asDouble()));
-    if (value["warm_left_ms"].isNumeric()) entry.warm_left = static_cast<std::uint64_t>(std::max(0.0, value["warm_left_ms"].asDouble()));
+    if (value["capacity"].isNumeric()) entry.capacity = static_cast<std::uint64_t>(std::clamp(value["capacity"].asDouble(), 1.0, 1e6));
+    if (value["warm_left_ms"].isNumeric()) entry.warm_left = static_cast<std::uint64_t>(std::clamp(value["warm_left_ms"].asDouble(), 0.0, 1e9));
     listing_.entries.push_back(std::move(entry));
     if (listing_.entries.size() > most_entries) return false;
   }
--- a/tests/agreement_test.cpp
+++ b/tests/agreement_test.cpp
@@ -205,6 +205,15 @@
   }
 }
 
+Test(agreement, a_leader_is_found_over_long_ways) {
+  Cluster cluster(3);
+  cluster.way = Span(150);
+  cr_assert(cluster.run_until([&] { return cluster.has_leader(); }, 20000ms));
+  const Term term = cluster.at(cluster.leader()).agreement->term();
+  cluster.run(5000ms);
+  cr_expect(cluster.at(cluster.leader()).agreement->term() == term, "and it stays");
+}
+
 // Every letter of a change is lost once, each in turn: the change still comes through, and everywhere the same.
 Test(agreement, any_one_letter_may_be_lost) {
   for (std::uint64_t lost = 1; lost <= 40; ++lost) {
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -120,6 +120,7 @@
     return node.agreement && node.agreement->committed() ? node.agreement->committed()->body : "";
   }
   std::function<bool(std::uint64_t, const Ballot&)> should_drop = [](std::uint64_t, const Ballot&) { return false; };
+  Span way{12};
   std::uint64_t sent() const { return sent_; }
 
   void flush(Node& node) {
@@ -129,7 +130,7 @@
     for (auto& letter : output.letters) {
       const std::uint64_t number = ++sent_;
       if (cut_.contains(node.address) || cut_.contains(letter.to) || should_drop(number, letter.ballot)) continue;
-      flying_.push_back({now_ + 12ms, letter.to, std::move(letter.ballot)});
+      flying_.push_back({now_ + way, letter.to, std::move(letter.ballot)});
     }
   }
 
