--- a/src/coordination/errand.cpp
+++ b/src/coordination/errand.cpp
@@ -10,6 +10,7 @@
 
 constexpr Span way_back{15};      // kept for the answer's way to the client
 constexpr Span answer_way{10};    // the same for an answer with parts left out, which misses its aim at worst
+constexpr int further_from = 45;  // per cent of the aim: parts that come a little late need no second asking
 constexpr Span hold_step{5};      // while every connection allowed is in use
 constexpr int most_missed = 4;    // askings that reached nobody, per part
 
@@ -161,7 +162,7 @@
   if (!weighed_ || part.span_ms <= 0) return further_delay();
   const double weight = std::max(1.0, weight_sum_ / static_cast<double>(weighed_));
   const Span usual(static_cast<std::int64_t>(std::ceil(part.base_ms + part.span_ms * weight * 1.6 + 12)));
-  return std::clamp(usual, Span(20), std::max(rule_.target, Span(20)));
+  return std::clamp(usual, std::max(rule_.target * further_from / 100, Span(20)), std::max(rule_.target, Span(20)));
 }
 
 void Errand::weigh(const Part& part, Span took) {
--- a/src/coordination/errand_aid.cpp
+++ b/src/coordination/errand_aid.cpp
@@ -76,10 +76,6 @@
     take_breakdown(failed.part, kind, failed.may_have_run, now);
     if (!is_open()) return;
   }
-  // What the frame did not wait for is straggling already.
-  for (std::size_t index = 0; index < parts_.size() && is_open(); ++index)
-    if (parts_[index].is_aided && parts_[index].active == 1 && may_ask_again(parts_[index])) ask(index, true, now);
-  if (!is_open()) return;
   consider(now);
 }
 
