--- a/src/coordination/backend.cpp
+++ b/src/coordination/backend.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr double guess_ms = 20;                        // of a backend not heard yet
-constexpr double locality_ms = 3, region_ms = 12;      // what bytes across them are taken to cost, beyond their time
+constexpr double locality_ms = 3, region_ms = 40;      // what bytes across them are taken to cost, beyond their time
 constexpr double load_fades_ms = 300;
 
 }  // namespace
