--- /dev/null
+++ b/tests/aid_test.cpp
@@ -0,0 +1,141 @@
+#include "coordination/aid.h"
+
+#include "stage.h"
+
+using namespace saddlewing;
+using namespace saddlewing::tests;
+
+Test(errand, a_frame_of_another_broker_brings_several_parts) {
+  Stage stage(gathered);
+  stage.aided_parts = {0, 1, 2};
+  stage.errand->start(start);
+  cr_assert(stage.asked.size() == 1 && stage.asked[0].part == 3);
+  stage.take(3, Stage::good("d", record('m')));
+  stage.errand->take_aided(frame({{0, "a"}, {1, "b"}, {2, "c"}}, {}, record('z') + record('k')), Span(30), start + 30ms);
+  cr_expect(stage.status() == 200 && stage.final.body == record('z') + record('m'));
+  cr_expect(stage.final.fields == "Part-Seals: a, b, c, d\r\nParts-Missing: 0\r\n");
+}
+
+Test(errand, parts_that_failed_with_another_broker_are_asked_directly) {
+  Stage stage(gathered);
+  stage.aided_parts = {0, 1, 2, 3};
+  stage.errand->start(start);
+  cr_assert(stage.asked.empty());
+  stage.errand->take_aided(frame({{0, "a"}, {1, "b"}, {2, "c"}}, {{3, static_cast<std::uint64_t>(Kind::broke_off), true}}, record('z')), Span(30), start + 30ms);
+  cr_assert(stage.asked.size() == 1 && stage.asked[0].part == 3);
+  cr_expect(stage.asked[0].backend->region != "far", "not the one that may have failed");
+  stage.take(3, Stage::good("d", record('y')));
+  cr_expect(stage.final.body == record('z') + record('y'));
+}
+
+Test(errand, without_a_frame_in_time_every_part_is_asked_directly_and_late_frames_count_for_nothing) {
+  Stage stage(gathered);
+  stage.aided_parts = {0, 1, 2, 3};
+  stage.errand->start(start);
+  stage.errand->on_due(start + 100ms);
+  cr_assert(stage.asked.size() == 4 && stage.missed_aids == 1);
+  stage.take(0, Stage::good("a", record('z')), start + 120ms);
+  stage.errand->take_aided(frame({{0, "a2"}, {1, "b2"}, {2, "c2"}, {3, "d2"}}, {}, record('z') + record('y')), Span(125), start + 125ms);
+  for (std::size_t part = 1; part < 4; ++part) stage.take(part, Stage::good("p" + std::to_string(part), record('c')), start + 130ms);
+  cr_expect(stage.status() == 200 && stage.final.body == record('z') + record('c'), "no record twice, none of a part not named");
+}
+
+Test(errand, without_allowance_for_all_of_them_parts_stay_with_the_other_broker) {
+  Stage stage(gathered);
+  stage.extra_reserve = 0;
+  stage.aided_parts = {0, 1, 2, 3};
+  stage.errand->start(start);
+  stage.errand->on_due(start + 100ms);
+  cr_expect(stage.asked.empty() && stage.missed_aids == 0);
+  stage.errand->take_aided(frame({{0, "a"}, {1, "b"}, {2, "c"}, {3, "d"}}, {}, record('z')), Span(150), start + 150ms);
+  cr_expect(stage.status() == 200);
+}
+
+Test(errand, an_aid_that_did_not_leave_costs_no_allowance) {
+  Stage stage(gathered);
+  stage.extra_reserve = 0;
+  stage.aided_parts = {0, 1, 2, 3};
+  stage.errand->start(start);
+  stage.errand->lose_aid(false, start + 1ms);
+  cr_expect(stage.asked.size() == 4);
+}
+
+// A straggler's part, sent alone after the first frame, is dropped when a direct asking was faster.
+Test(errand, of_a_straggler_asked_directly_only_one_part_counts) {
+  Stage stage(gathered);
+  stage.aided_parts = {0, 1, 2, 3};
+  stage.errand->start(start);
+  stage.errand->take_aided(frame({{0, "a"}, {1, "b"}}, {}, record('m')), Span(30), start + 30ms);
+  stage.errand->on_due(start + 110ms);
+  cr_assert(stage.asked.size() == 2);
+  stage.take(2, Stage::good("c", record('z')), start + 130ms);
+  stage.errand->take_aided(frame({{2, "c2"}}, {}, record('z')), Span(140), start + 140ms);
+  stage.errand->take_aided(frame({{3, "d2"}}, {}, record('y')), Span(150), start + 150ms);
+  cr_expect(stage.final.body == record('z') + record('y'));
+  cr_expect(stage.final.fields == "Part-Seals: a, b, c, d2\r\nParts-Missing: 0\r\n");
+}
+
+namespace {
+
+class AidStage final : public AidWork::Ground {
+ public:
+  AidStage() {
+    std::vector<AidWork::Candidates> parts(3);
+    for (auto& part : parts)
+      for (int copy = 0; copy < 2; ++copy) {
+        part.backends.push_back(std::make_shared<Backend>());
+        part.backends.back()->status = Status::up;
+        part.most_connections = 10;
+      }
+    work = std::make_unique<AidWork>(*this, 5, parts, 2, Span(40), Span(900), start);
+    work->start(start);
+  }
+  bool ask(Asker&, std::size_t part, Backend&, Moment) override {
+    asked.push_back(part);
+    return true;
+  }
+  PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int, Moment now) override {
+    return picker_.pick(backends, tried, 1000, now);
+  }
+  void send_aided(AidWork&, Aided aided, Moment) override { frames.push_back(std::move(aided)); }
+  std::vector<std::size_t> asked;
+  std::vector<Aided> frames;
+  std::unique_ptr<AidWork> work;
+
+ private:
+  Picker picker_{{"", ""}, 1};
+};
+
+}  // namespace
+
+Test(aid, all_parts_go_back_in_one_frame_with_the_greatest_records) {
+  AidStage stage;
+  for (std::size_t part = 0; part < 3; ++part)
+    stage.work->take_outcome(part, Stage::good("s" + std::to_string(part), record(static_cast<char>('a' + part))), Span(9), start + 9ms);
+  cr_assert(stage.frames.size() == 1 && !stage.work->is_open());
+  cr_expect(stage.frames[0].token == 5 && stage.frames[0].done.size() == 3 && stage.frames[0].records == record('c') + record('b'));
+}
+
+Test(aid, stragglers_follow_one_by_one) {
+  AidStage stage;
+  stage.work->take_outcome(1, Stage::good("s1", record('b')), Span(9), start + 9ms);
+  stage.work->on_due(stage.work->next_due());
+  cr_assert(stage.frames.size() == 1 && stage.frames[0].done.size() == 1);
+  stage.work->take_outcome(0, Stage::good("s0", record('a')), Span(50), start + 50ms);
+  stage.work->take_outcome(2, Stage::good("s2", record('c')), Span(60), start + 60ms);
+  cr_assert(stage.frames.size() == 3);
+  cr_expect(stage.frames[1].done.size() == 1 && stage.frames[1].records == record('a'));
+  cr_expect(stage.frames[2].done[0].seal == "s2" && stage.frames[2].records == record('c'));
+}
+
+Test(aid, nothing_that_may_have_run_is_asked_again) {
+  AidStage stage;
+  stage.work->take_breakdown(0, Kind::refused_connection, false, start + 2ms);
+  cr_expect(stage.asked.size() == 4, "nobody was reached");
+  stage.work->take_breakdown(0, Kind::broke_off, true, start + 9ms);
+  stage.work->take_outcome(1, Stage::failed(503, true), Span(9), start + 9ms);
+  stage.work->take_outcome(2, Stage::good("s2", ""), Span(9), start + 9ms);
+  cr_expect(stage.asked.size() == 4);
+  cr_assert(stage.frames.size() == 1);
+  cr_expect(stage.frames[0].failed.size() == 2 && stage.frames[0].failed[0].may_have_run);
+}
--- /dev/null
+++ b/tests/pick_test.cpp
@@ -0,0 +1,65 @@
+#include <criterion/criterion.h>
+
+#include "coordination/backend.h"
+#include "coordination/budget.h"
+
+using namespace saddlewing;
+
+namespace {
+
+constexpr Moment start = Moment{} + 1000s;
+
+}  // namespace
+
+// Whatever the load and however the moments fall, extras of any span stay within the share of its requests.
+Test(budget, extras_never_exceed_the_share_in_any_span) {
+  Budget budget(Span(10000), 0.2);
+  std::vector<Moment> requests, extras;
+  std::uint64_t noise = 88172645463325252ull;
+  const auto draw = [&] { return noise ^= noise << 13, noise ^= noise >> 7, noise ^= noise << 17; };
+  for (Moment now = start; now < start + 60s; now += 10ms) {
+    const bool is_busy = (now - start) % 20s < 8s;
+    for (std::uint64_t count = draw() % (is_busy ? 5 : 2); count; --count) {
+      budget.count_request(now);
+      requests.push_back(now);
+    }
+    while (budget.allows_extra(now, 0)) {
+      budget.count_extra(now);
+      extras.push_back(now);
+    }
+  }
+  cr_assert(!extras.empty());
+  const auto within = [](const std::vector<Moment>& events, Moment from, Moment to) {
+    return std::count_if(events.begin(), events.end(), [&](Moment event) { return event >= from && event < to; });
+  };
+  for (Moment from = start; from < start + 50s; from += 250ms) {
+    const auto most = std::max({within(requests, from, from + 10s), within(requests, from - 5s, from + 5s), within(requests, from - 10s, from)});
+    cr_expect(static_cast<double>(within(extras, from, from + 10s)) <= 0.2 * static_cast<double>(most) + 1);
+  }
+}
+
+Test(breaker, opens_after_breakdowns_and_lets_one_trial_through) {
+  Breaker breaker;
+  breaker.fail(start, false);
+  breaker.fail(start, false);
+  cr_expect(!breaker.is_open(start));
+  breaker.fail(start, false);
+  cr_expect(breaker.is_open(start) && breaker.is_on_trial(start + 500ms));
+  breaker.start_trial(start + 500ms);
+  cr_expect(breaker.is_open(start + 510ms));
+  breaker.succeed();
+  cr_expect(!breaker.is_open(start + 510ms));
+}
+
+Test(picker, breakers_alone_never_empty_a_shard) {
+  Picker picker({"", ""}, 1);
+  std::vector<BackendPointer> backends;
+  for (int at = 0; at < 2; ++at) {
+    backends.push_back(std::make_shared<Backend>());
+    backends.back()->status = Status::up;
+    backends.back()->breaker.fail(start, true);
+  }
+  cr_expect(picker.pick(backends, {}, 10, start).backend != nullptr);
+  backends[0]->is_cancelled = backends[1]->is_cancelled = true;
+  cr_expect(picker.pick(backends, {}, 10, start).backend == nullptr);
+}
