--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "protocol/frames.h"
+#include "state/startup.h"
 #include "state/types.h"
 
 namespace saddlewing {
@@ -16,9 +17,12 @@
   Span renewal{2000}, hold{6000}, sweep{1000};
   double renewal_threshold = 0.85;
   bool is_preserving = true;
-  Span tombstone{60000};  // how long a backend that is gone is remembered, so that nothing late revives it
+  Span tombstone{60000};
 };
 
+// How long a backend that is gone is remembered: well beyond the wait before its address is used again.
+inline Span registry_tombstone(const Startup& startup) { return std::max(Span(60000), startup.reuse_wait * 10); }
+
 struct ProbeTarget {
   std::string id, address, service;
   bool is_awaited = false;  // STARTING or DOWN
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr Span call_wait{850};        // a little less than the desk waits
-constexpr Span broker_silence{3000};  // then a broker no longer counts
 constexpr Span longest_wait{100};
 constexpr std::size_t most_steps = 128;
 
@@ -36,6 +35,7 @@
   options.sweep = startup.sweep;
   options.renewal_threshold = startup.renewal_threshold;
   options.is_preserving = startup.is_preserving;
+  options.tombstone = registry_tombstone(startup);
   return options;
 }
 
@@ -91,7 +91,7 @@
     for (int count = 0; count < 512; ++count) {
       auto parcel = hub_.receive();
       if (!parcel) break;
-      take_parcel(*parcel, true, now);
+      take_parcel(*parcel, now);
     }
     for (const auto& [address, spoke] : spokes_)
       while (spoke->receive()) {
@@ -108,8 +108,10 @@
       LOG(INFO) << "agree: leaving";
       agreement_.hand_over(now);
       handle_output(now);
-      leave_by = now + 200ms;
+      leave_by = now + call_wait;
     }
+    // Calls at work are answered first, by whoever leads now.
+    if (should_leave_ && calls_.empty() && now > leave_by - call_wait + 200ms) break;
   }
   has_left_ = true;
 }
@@ -127,7 +129,7 @@
   }
 }
 
-void Core::take_parcel(const Parcel& parcel, bool, Moment now) {
+void Core::take_parcel(const Parcel& parcel, Moment now) {
   ByteReader reader(parcel.bytes);
   FrameHead head;
   bool is_good = decode_head(reader, head);
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -58,7 +58,7 @@
 
   void run();
   void take_event(CoreEvent& event, Moment now);
-  void take_parcel(const Parcel& parcel, bool is_from_hub, Moment now);
+  void take_parcel(const Parcel& parcel, Moment now);
   void take_follow(const std::string& route, const FrameHead& head, const Follow& follow, Moment now);
   void take_roster(const FrameHead& head, const Roster& roster, Moment now);
   void take_trace(const std::string& route, Moment now);
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Span whole_every{5000};  // anti-entropy between registries
-constexpr Span broker_silence{3000};
+constexpr Span broker_silence{3000};  // then a broker no longer counts
 
 }  // namespace
 
@@ -52,7 +52,7 @@
     if (was_evicting != registry_.is_evicting())
       LOG(WARNING) << "registry: " << (registry_.is_evicting() ? "evicts again" : "preserves itself, too few renewals");
   } else {
-    registry_.forget_gone(now, Span(60000));
+    registry_.forget_gone(now, registry_tombstone(startup_));
   }
   if (has_turned || ordered_mark_ != registry_.mark()) {
     ordered_mark_ = registry_.mark();
--- a/src/programs/desk.cpp
+++ b/src/programs/desk.cpp
@@ -47,22 +47,27 @@
   while (!should_stop_) {
     poller_.poll(schedule_.until_next(Clock::now(), Span(1000)));
     const Moment now = Clock::now();
-    for (OperatorOutcome& outcome : outcomes_.take()) {
-      const auto found = open_.find(outcome.token);
-      if (found == open_.end()) continue;
-      const bool is_read = found->second.is_read;
-      if (!outcome.is_done) {
-        finish(outcome.token, json_reply(Kind::no_leader, "no majority of the core answered in time"), now);
-      } else if (is_read && outcome.body.empty()) {
-        finish(outcome.token, json_reply(Kind::no_rule, "no configuration was taken yet"), now);
-      } else {
-        Reply reply{200, "OK", "Content-Type: application/json\r\n", is_read ? std::move(outcome.body) : "{}\n"};
-        finish(outcome.token, std::move(reply), now);
-      }
-    }
+    take_outcomes(now);
     schedule_.run(now);
     server_.reap();
   }
+  take_outcomes(Clock::now());
+}
+
+void Desk::take_outcomes(Moment now) {
+  for (OperatorOutcome& outcome : outcomes_.take()) {
+    const auto found = open_.find(outcome.token);
+    if (found == open_.end()) continue;
+    const bool is_read = found->second.is_read;
+    if (!outcome.is_done) {
+      finish(outcome.token, json_reply(Kind::no_leader, "no majority of the core answered in time"), now);
+    } else if (is_read && outcome.body.empty()) {
+      finish(outcome.token, json_reply(Kind::no_rule, "no configuration was taken yet"), now);
+    } else {
+      Reply reply{200, "OK", "Content-Type: application/json\r\n", is_read ? std::move(outcome.body) : "{}\n"};
+      finish(outcome.token, std::move(reply), now);
+    }
+  }
 }
 
 void Desk::on_request(Visit& visit, Moment now) {
--- a/src/programs/desk.h
+++ b/src/programs/desk.h
@@ -30,6 +30,7 @@
     void on_due(Moment now) override;
   };
   void run();
+  void take_outcomes(Moment now);
   void refer(Visit& visit, OperatorCall call, Moment now);
   void finish(std::uint64_t token, Reply reply, Moment now);
 
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -9,7 +9,6 @@
 
 constexpr Span fetch_again{300};  // a body that did not come is asked for elsewhere
 constexpr Span eager_follow{50};  // until it is ready
-constexpr Span tombstone{60000};
 constexpr std::size_t most_steps = 64, most_aides = 4;  // most_aides: of one region
 
 }  // namespace
@@ -81,7 +80,7 @@
 void Follower::follow_all(Moment now) {
   follow_due_ = now + (is_ready_ ? startup_.follow : eager_follow);
   for (auto& [address, source] : sources_) follow_one(source, false);
-  book_.forget_gone(now, tombstone);
+  book_.forget_gone(now, registry_tombstone(startup_));
 }
 
 void Follower::take(const std::string&, const Parcel& parcel, Moment now) {
--- a/src/state/startup.cpp
+++ b/src/state/startup.cpp
@@ -169,6 +169,10 @@
   reader.number("time_bounds.retry_share", read.retry_share, 0, 1);
   reader.number("time_bounds.extra_tries", tries, 0, 1e9);
   read.extra_tries = static_cast<int>(tries);
+  // Where the bounds are tighter than usual, what must happen within them happens more often.
+  read.listing = std::clamp(read.empty_out / 6, Span(10), read.listing);
+  read.follow = std::clamp(std::min(read.empty_out, read.take_effect) / 7, Span(10), read.follow);
+  read.rollout_wait = std::clamp(read.take_effect / 6, Span(10), read.rollout_wait);
   reader.span("options.beat_ms", read.beat);
   reader.span("options.election_ms", read.election);
   reader.span("options.renewal_ms", read.renewal);
@@ -183,6 +187,7 @@
   reader.span("options.unconfirmed_wait_ms", read.unconfirmed_wait);
   if (read.election < read.beat * 3) reader.fail("options.election_ms is under three times options.beat_ms");
   if (read.rollout_wait * 3 > read.take_effect) reader.fail("options.rollout_wait_ms is over a third of time_bounds.take_effect_ms");
+  if (read.listing * 3 + read.follow > read.empty_out) reader.fail("options.listing_ms is too long for time_bounds.empty_out_ms");
   if (read.hold < read.renewal * 2) reader.fail("options.hold_ms is under twice options.renewal_ms");
   if (!reader.first().empty()) return fault(Kind::invalid, reader.first());
   startup = std::move(read);
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -66,6 +66,13 @@
   cr_expect(pair.paths == both);
 }
 
+// POCO's plain bind also shares the port; two processes then took turns at each other's connections.
+Test(server, a_port_in_use_is_refused) {
+  Pair pair;
+  Listener second;
+  cr_expect(second.open(pair.address).code == Kind::link);
+}
+
 // Bodies that together pass the bound are refused before they are read.
 Test(server, beyond_its_memory_a_request_is_refused_with_a_promise) {
   Pair pair;
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -162,6 +162,9 @@
   cr_expect(check_startup(good + R"(,"time_bounds":{"retry_share":2}})", false, startup).step == "time_bounds.retry_share is out of range");
   cr_expect(check_startup(good + R"(,"time_bounds":{"grace_s":"6"}})", false, startup).step == "time_bounds.grace_s is not a number");
   cr_expect(check_startup(good + R"(,"options":{"hold_ms":100}})", false, startup).step == "options.hold_ms is under twice options.renewal_ms");
+  cr_assert(!check_startup(good + R"(,"time_bounds":{"empty_out_ms":900,"take_effect_ms":900}})", false, startup));
+  cr_expect(startup.listing * 3 + startup.follow <= Span(900) && startup.rollout_wait * 3 <= Span(900), "options follow tight bounds");
+  cr_expect(check_startup(good + R"(,"options":{"listing_ms":1000}})", false, startup).step == "options.listing_ms is too long for time_bounds.empty_out_ms");
   cr_expect(check_startup("{", false, startup).code == Kind::unreadable);
   cr_expect(read_startup("/nowhere", false, startup).code == Kind::unreadable);
 }
