A broker that has no view yet answers an aid instead of ending

Cause: just started, it was asked for aid by a broker that knew its former life, and looked for the number of brokers in a view it did not have.

--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -155,7 +155,7 @@
 }
 
 void Traffic::on_request(Visit& visit, Moment now) {
-  if (!view_ || !view_->is_ready || !table_) {
+  if (!view_->is_ready || !table_) {
     Reply reply = reply_of(Kind::not_ready);
     reply.fields += "Retry-After: 0.3\r\n";
     return visit.answer(std::move(reply), now);
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -68,6 +68,7 @@
   void start();
   void show(ViewCapture view) { views_.push(std::move(view)); }
   void tell(AidEvent event) { aid_events_.push(std::move(event)); }
+  void take_aid_event(AidEvent& event, Moment now);  // the traffic thread alone
   // Rules from now on; a wrong file is logged and the rules before it stay.
   void read_alerts(const std::string& path);
   void set_sender(std::function<bool(AidOut)> send) { send_ = std::move(send); }
@@ -107,13 +108,12 @@
   };
   void run();
   void take_view(ViewCapture view, Moment now);
-  void take_aid_event(AidEvent& event, Moment now);
   void take_aid(AidIn& in, Moment now);
   bool is_near(const Backend& backend, const std::string& region, Moment now) const;
   void end_trip(const Asker* asker);
   void arrange(Trip& trip);
   std::string head_for(const Trip& trip, const Backend& backend, Moment now) const;
-  bool is_ready() const { return view_ && view_->is_ready && !is_leaving_; }
+  bool is_ready() const { return view_->is_ready && !is_leaving_; }
   void bury(Wire* wire);
   void keep_warm(const BackendPointer& backend);
   void check_leaving(Moment now);
@@ -132,7 +132,7 @@
   Readiness readiness_;
   Server ready_server_;
   Ring<ViewCapture> views_;
-  ViewCapture view_;
+  ViewCapture view_ = std::make_shared<View>();  // invariant: never null; other brokers may ask before the first one
   TableCapture table_;
   std::map<std::string, BackendPointer> backends_;  // by id
   std::unordered_map<std::string, Budget> budgets_;  // by service
