--- a/src/coordination/budget.h
+++ b/src/coordination/budget.h
@@ -60,26 +60,4 @@
   WindowCount requests_, extras_;
 };
 
-// A broker's part of the common reserve. A fresh life has none: its former self may have spent it in this window.
-class Reserve {
- public:
-  Reserve(int extra_tries, Span span, Moment born) : tries_(extra_tries), span_(span), born_(born) {}
-  void see_brokers(std::uint64_t count, Moment now) {
-    if (count >= most_ || now - seen_ > span_ * 3) {
-      most_ = count;
-      seen_ = now;
-    }
-  }
-  double part(Moment now) const {
-    if (now - born_ < span_ * 2 || !most_) return 0;
-    return static_cast<double>(tries_) / static_cast<double>(2 * most_);
-  }
-
- private:
-  int tries_;
-  Span span_;
-  Moment born_, seen_{};
-  std::uint64_t most_ = 0;
-};
-
 }  // namespace saddlewing
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -46,7 +46,8 @@
       events_(4096, [this] { waker_.wake(); }), contacts_(4, [this] { waker_.wake(); }),
       agreement_(std::move(durable), agreement_options(startup, life, address_),
                  inner_addresses(startup.contacts, startup.inner_port), Clock::now()),
-      registry_(registry_options(startup)), rollout_(startup.rollout_wait), steps_(most_steps) {}
+      registry_(registry_options(startup)), rollout_(startup.rollout_wait),
+      grants_(startup.extra_tries, startup.follow * 5, startup.retry_span), steps_(most_steps) {}
 
 Fault Core::open() { return hub_.open(context_, Address{startup_.ip_address, startup_.inner_port}); }
 
@@ -101,6 +102,7 @@
     handle_output(now);
     note_commit(now);
     tend_registry(now);
+    grants_.lead(agreement_.is_leader() && agreement_.is_confirmed(now), now);
     tend_brokers(now);
     tend_rollout(now);
     handle_output(now);
@@ -256,7 +258,7 @@
   for (const Service& service : configuration_->services) services.insert(service.name);
   registry_.name_services(std::move(services));
   ordered_mark_ = ~0ull;
-  for (const auto& [from, broker] : brokers_) send_beat(broker, now);
+  for (const auto& [from, broker] : brokers_) send_beat(broker, false, now);
   if (!brokers_.empty()) steps_.note(noted_->edition, "sent", now);
 }
 
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "coordination/agreement.h"
+#include "coordination/grants.h"
 #include "coordination/registry.h"
 #include "coordination/rollout.h"
 #include "programs/desk.h"
@@ -44,6 +45,7 @@
   };
   struct Broker {
     std::string route, from, region;
+    LifeId life;
     bool is_ready = false;
     std::uint64_t seats_mark = 0;  // of the seats it knows
     Edition held;
@@ -70,7 +72,7 @@
   void tend_registry(Moment now);
   void tend_brokers(Moment now);
   void tend_rollout(Moment now);
-  void send_beat(const Broker& broker, Moment now);
+  void send_beat(const Broker& broker, bool is_granting, Moment now);
   void send_to(const std::string& address, const std::string& bytes);
   void reach(const std::string& address);
   FrameHead head() const { return {FrameKind::ballot, life_, address_}; }
@@ -97,6 +99,7 @@
   EntryCapture noted_;                     // the committed entry that was made known
   ConfigurationCapture configuration_;
   Rollout rollout_;
+  Grants grants_;
   bool is_observing_ = false, was_leader_ = false;
   std::uint64_t ordered_mark_ = ~0ull;
   Moment registry_due_{}, foreign_logged_{};
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -82,7 +82,7 @@
   }
 }
 
-void Core::send_beat(const Broker& to, Moment now) {
+void Core::send_beat(const Broker& to, bool is_granting, Moment now) {
   Beat beat;
   if (agreement_.committed()) beat.edition = agreement_.committed()->edition;
   beat.in_force = rollout_.in_force();
@@ -96,6 +96,10 @@
     beat.seats.push_back({from, broker.region});
     beat.seats_mark = beat.seats_mark * 31 + std::hash<std::string>{}(from + broker.region);
   }
+  if (is_granting && agreement_.is_leader()) {
+    beat.grant = static_cast<std::uint64_t>(grants_.grant(to.from, to.life, brokers_.size(), now) * 1000);
+    beat.grant_valid = static_cast<std::uint64_t>(grants_.valid().count());
+  }
   if (beat.seats_mark == to.seats_mark) beat.seats.clear();
   hub_.send(to.route, encode(head(), beat));
 }
@@ -106,12 +110,13 @@
   broker.route = route;
   broker.from = from.from;
   broker.region = follow.region;
+  broker.life = from.life;
   broker.is_ready = follow.is_ready;
   broker.seats_mark = follow.seats_mark;
   broker.held = follow.edition;
   broker.heard = now;
   broker.sent_mark = follow.roster_life == life_.value ? follow.roster_mark : 0;
-  send_beat(broker, now);
+  send_beat(broker, true, now);
   const EntryCapture& committed = agreement_.committed();
   if (follow.wants_body && committed && committed->edition > follow.edition)
     hub_.send(route, encode(head(), Body{committed->edition, committed->body}));
@@ -133,7 +138,7 @@
   const Rollout::Turn turn = rollout_.advance(held, now);
   if (turn == Rollout::Turn::none) return;
   steps_.note(rollout_.in_force(), turn == Rollout::Turn::held_by_all ? "held by all" : "waited enough", now);
-  for (const auto& [from, broker] : brokers_) send_beat(broker, now);
+  for (const auto& [from, broker] : brokers_) send_beat(broker, false, now);
 }
 
 void Core::take_trace(const std::string& route, Moment now) {
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -78,6 +78,7 @@
 }
 
 void Follower::follow_all(Moment now) {
+  followed_ = now;
   follow_due_ = now + (is_ready_ ? startup_.follow : eager_follow);
   for (auto& [address, source] : sources_) follow_one(source, false);
   book_.forget_gone(now, registry_tombstone(startup_));
@@ -112,6 +113,13 @@
 void Follower::take_beat(Source& source, const Beat& beat, Moment now) {
   source.edition = beat.edition;
   turnover_.see_in_force(beat.in_force);
+  if (beat.grant_valid) {  // its span runs from the leader's sending, which is after our follow
+    reserve_.take(static_cast<double>(beat.grant) / 1000, Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.grant_valid, 60000))), followed_);
+    if (now - reserve_shown_ >= startup_.follow * 2) {  // well before the one shown runs out
+      reserve_shown_ = now;
+      has_news_ = true;
+    }
+  }
   source.is_confirmed = beat.is_confirmed;
   source.is_filled = beat.is_filled;
   if (beat.is_confirmed) {
@@ -214,6 +222,7 @@
   view->is_ready = is_ready_;
   view->brokers = brokers_;
   view->seats = seats_;
+  view->reserve = reserve_;
   const Moment now = Clock::now();
   for (const auto& [id, line] : book_.lines()) {
     if (line.entry.phase == Phase::gone) continue;
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/grants.h"
 #include "coordination/registry.h"
 #include "coordination/rollout.h"
 #include "protocol/steps.h"
@@ -24,6 +25,7 @@
   bool is_ready = false;              // once true it stays so for this life
   std::uint64_t brokers = 1;
   std::vector<BrokerSeat> seats;      // ready brokers of other regions
+  Reserve reserve;
 };
 using ViewCapture = std::shared_ptr<const View>;
 
@@ -102,6 +104,9 @@
   Moment born_, follow_due_{}, fetch_due_{};
   bool is_ready_ = false, has_news_ = false;
   std::uint64_t brokers_ = 1;
+  Reserve reserve_;
+  Moment reserve_shown_{};
+  Moment followed_{};  // when the last follow left: a grant counts from there
   StepLog steps_;
   std::atomic<bool> should_stop_ = false, is_leaving_ = false;
   std::thread thread_;
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -59,7 +59,7 @@
 Traffic::Traffic(const Startup& startup, LifeId life)
     : startup_(startup), server_(poller_, schedule_, *this, static_cast<std::size_t>(startup.file_handles) / 3, startup.memory_bytes / 4), readiness_(*this),
       ready_server_(poller_, schedule_, readiness_, 64, 1 << 20), views_(64, [this] { poller_.wake(); }),
-      reserve_(startup.extra_tries, startup.retry_span, Clock::now()), picker_({startup.locality, startup.region}, life.value),
+      picker_({startup.locality, startup.region}, life.value),
       draw_(static_cast<std::uint32_t>(life.value)), aid_events_(4096, [this] { poller_.wake(); }), life_(life),
       alert_rules_(4, [this] { poller_.wake(); }) {}
 
@@ -107,7 +107,6 @@
 
 void Traffic::take_view(ViewCapture view, Moment now) {
   view_ = std::move(view);
-  reserve_.see_brokers(view_->brokers, now);
   std::map<std::string, BackendPointer> kept;
   for (const RosterEntry& entry : view_->backends) {
     const auto found = backends_.find(entry.id);
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -88,7 +88,7 @@
   void send_aided(AidWork& work, Aided aided, Moment now) override;
   void answer(Errand& errand, FinalAnswer answer, Moment now) override;
   Budget& budget(const std::string& service) override;
-  double reserve(Moment now) override { return reserve_.part(now); }
+  double reserve(Moment now) override { return view_->reserve.part(now); }
   PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int most_connections,
                   Moment now) override;
   Pace& pace(const Rule& rule) override { return paces_[rule.name + rule.host + rule.path_start]; }
@@ -137,7 +137,6 @@
   std::map<std::string, BackendPointer> backends_;  // by id
   std::unordered_map<std::string, Budget> budgets_;  // by service
   std::unordered_map<std::string, Pace> paces_;      // by rule
-  Reserve reserve_;
   Picker picker_;
   std::minstd_rand draw_;
   std::unordered_map<const Asker*, TripPointer> trips_;
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -125,6 +125,7 @@
 std::string encode(const FrameHead& head, const Beat& value) {
   Writer writer = open_frame(head, FrameKind::beat);
   writer.number(value.edition.value).number(value.in_force.value).number(value.is_confirmed).number(value.is_filled).number(value.brokers);
+  writer.number(value.grant).number(value.grant_valid);
   write_texts(writer, value.registries);
   writer.number(value.seats_mark).number(value.seats.size());
   for (const BrokerSeat& seat : value.seats) writer.text(seat.address).text(seat.region);
@@ -137,6 +138,8 @@
   value.is_confirmed = reader.number();
   value.is_filled = reader.number();
   value.brokers = reader.number();
+  value.grant = reader.number();
+  value.grant_valid = reader.number();
   read_texts(reader, value.registries);
   value.seats_mark = reader.number();
   value.seats.resize(reader.count(16));
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -84,6 +84,8 @@
   bool is_confirmed = false;  // a quorum stands behind it
   bool is_filled = false;     // its roster was refilled since it started
   std::uint64_t brokers = 0;  // brokers heard of late
+  std::uint64_t grant = 0;    // thousandths of a further try, from the leader alone
+  std::uint64_t grant_valid = 0;  // milliseconds; 0: no word of a grant
   std::vector<std::string> registries;  // inner addresses of the core
   std::uint64_t seats_mark = 0;         // of the ready brokers
   std::vector<BrokerSeat> seats;        // they themselves, unless the broker knows this mark already
