--- a/src/main.cpp
+++ b/src/main.cpp
@@ -31,8 +31,13 @@
 }  // namespace
 
 int main(int count, char** words) {
-  cxxopts::Options options("saddlewing", "A search front over sharded indexes.");
-  options.positional_help("COMMAND [FILE]");
+  cxxopts::Options options("saddlewing",
+                           "A search front over sharded indexes.\n\n"
+                           "  broker          carry traffic\n"
+                           "  registry        keep the configuration and the registry of backends\n"
+                           "  tracer EDITION  follow one change of the configuration through all nodes\n"
+                           "  check FILE      check a startup or a configuration\n");
+  options.positional_help("COMMAND [FILE | EDITION]");
   options.add_options()("h,help", "print this help")("version", "print the version")(
       "startup", "startup file (else SADDLEWING_NODE_FILE names it)", cxxopts::value<std::string>())(
       "contact", "tracer: inner address of a node; may be given more than once", cxxopts::value<std::vector<std::string>>())(
