--- a/src/programs/wire.cpp
+++ b/src/programs/wire.cpp
@@ -9,7 +9,7 @@
 namespace saddlewing {
 namespace {
 
-constexpr std::size_t most_head = 32768, most_body = 16u << 20;
+constexpr std::size_t most_head = 32768;
 constexpr Span connect_wait{250};
 constexpr Span past_cutoff{100};       // how long an asking is still waited for after its errand's cutoff
 constexpr Span longest_idle{10000};
@@ -27,7 +27,7 @@
 }  // namespace
 
 Wire::Wire(Traffic& traffic, BackendPointer backend)
-    : traffic_(traffic), backend_(std::move(backend)), caller_(traffic.poller_, *this, backend_->address, most_head, most_body) {
+    : traffic_(traffic), backend_(std::move(backend)), caller_(traffic.poller_, *this, backend_->address, most_head, traffic.startup_.memory_bytes / 32) {
   ++backend_->connections;
 }
 
