--- a/src/coordination/agreement.cpp
+++ b/src/coordination/agreement.cpp
@@ -128,7 +128,7 @@
   learners_.clear();
   attached_.clear();
   for (const Member& member : durable_.entry->members)
-    if (member.id != durable_.self) peers_[member.id] = {member.address, now, {}, false, 0, 0};
+    if (member.id != durable_.self) peers_[member.id] = {member.address, now, {}, false, 0, 0, {}};
   start_entry(durable_.entry->members, now);
 }
 
@@ -143,9 +143,11 @@
   entry->term = durable_.term;
   entry->index.value = durable_.entry->index.value + 1;
   entry->members = std::move(members);
-  if (!entry->core_size) entry->core_size = static_cast<std::uint32_t>(entry->members.size());
+  if (!entry->core_size) entry->core_size = std::max(options_.voters, static_cast<std::uint32_t>(entry->members.size()));
   for (Waiting& waiting : waiting_) {
-    if (waiting.edition > entry->edition) {
+    if (!waiting.sheet.empty()) {
+      entry->sheets[waiting.sheet] = std::move(waiting.text);
+    } else if (waiting.edition > entry->edition) {
       entry->edition = waiting.edition;
       entry->body = std::move(waiting.body);
     }
@@ -158,7 +160,7 @@
   for (const Member& member : durable_.entry->members) {
     if (member.id == durable_.self) continue;
     const auto found = peers_.find(member.id);
-    kept[member.id] = found != peers_.end() ? found->second : Peer{member.address, now, {}, false, 0, 0};
+    kept[member.id] = found != peers_.end() ? found->second : Peer{member.address, now, {}, false, 0, 0, {}};
     learners_.erase(member.id);
   }
   for (const auto& [id, heard] : learners_)
@@ -172,7 +174,7 @@
 void Agreement::start_waiting(Moment now) {
   if (role_ != Role::leader || is_under_way_ || waiting_.empty()) return;
   const bool is_newer = std::any_of(waiting_.begin(), waiting_.end(),
-                                    [&](const Waiting& waiting) { return waiting.edition > durable_.entry->edition; });
+                                    [&](const Waiting& waiting) { return !waiting.sheet.empty() || waiting.edition > durable_.entry->edition; });
   if (is_newer) return start_entry(durable_.entry->members, now);
   for (const Waiting& waiting : waiting_) results_.push_back({waiting.token, Verdict::done, nullptr});
   waiting_.clear();
@@ -207,7 +209,11 @@
 }
 
 void Agreement::broadcast(Moment now, bool is_beat) {
-  if (is_beat) beat_due_ = now + options_.beat;
+  if (is_beat) {
+    beat_due_ = now + options_.beat;
+    round_sent_[++round_] = now;
+    while (round_sent_.size() > 64) round_sent_.erase(round_sent_.begin());
+  }
   for (auto& [id, peer] : peers_) send_append(peer, now, is_beat);
 }
 
@@ -223,15 +229,28 @@
   return !leader_.empty() && now - heard_leader_ < options_.election;
 }
 
+bool Agreement::is_leased(Moment now) const {
+  if (role_ != Role::leader || !committed_ || committed_->term != durable_.term) return false;
+  std::size_t count = is_member(durable_.self);
+  for (const auto& [id, peer] : peers_) count += peer.leased != Moment{} && now - peer.leased < options_.election && is_member(id);
+  return count >= majority();
+}
+
 void Agreement::propose(Edition edition, std::string body, std::uint64_t token, Moment now) {
   if (role_ != Role::leader) return results_.push_back({token, Verdict::failed, nullptr});
-  waiting_.push_back({edition, std::move(body), token});
+  waiting_.push_back({edition, std::move(body), token, {}, {}});
+  start_waiting(now);
+}
+
+void Agreement::propose_sheet(std::string name, std::string text, std::uint64_t token, Moment now) {
+  if (role_ != Role::leader) return results_.push_back({token, Verdict::failed, nullptr});
+  waiting_.push_back({{}, {}, token, std::move(name), std::move(text)});
   start_waiting(now);
 }
 
 void Agreement::confirm_read(std::uint64_t token, Moment now) {
   if (role_ != Role::leader) return results_.push_back({token, Verdict::failed, nullptr});
-  reads_.push_back({token, ++round_});
+  reads_.push_back({token, round_ + 1});
   broadcast(now, true);
   check_reads();
 }
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -21,6 +21,7 @@
   std::string address;         // own inner address
   Span beat{150};
   Span election{700};          // least wait for a leader; drawn up to twice that
+  std::uint32_t voters = 0;    // how many the core wants, to bear the losses it must; 0: as many as founded it
   Span silent{3000};           // a voter silent for longer may be replaced by a caught-up learner
   Span stuck{700};             // a save under way for longer: the disk is stuck
   std::uint64_t draw = 1;      // differs by process
@@ -55,6 +56,8 @@
   void tick(Moment now);
   void finish_save(std::uint64_t serial, bool is_saved, Moment now);
   void propose(Edition edition, std::string body, std::uint64_t token, Moment now);
+  // Replaces one sheet. Only the leader's own parts propose, each after its last proposal was committed.
+  void propose_sheet(std::string name, std::string text, std::uint64_t token, Moment now);
   void confirm_read(std::uint64_t token, Moment now);
   void hand_over(Moment now);
   void set_contacts(std::vector<std::string> contacts) { contacts_ = std::move(contacts); }
@@ -70,6 +73,8 @@
   const EntryCapture& committed() const { return committed_; }
   // A quorum stands behind what this node holds committed.
   bool is_confirmed(Moment now) const;
+  // Nobody else can lead before now: a majority answered a beat that left within the least election time-out.
+  bool is_leased(Moment now) const;
   std::vector<std::string> known_addresses() const;
 
  private:
@@ -79,11 +84,13 @@
     bool is_matched = false;      // holds the leader's last entry
     std::uint64_t sent_serial = 0;  // entry serial sent at sent_at
     std::uint64_t round = 0;
+    Moment leased{};  // when the beat left that it answered last
   };
   struct Waiting {
     Edition edition;
     std::string body;
     std::uint64_t token;
+    std::string sheet, text;  // a sheet by name, instead of an edition
   };
   struct Read {
     std::uint64_t token, round;
@@ -143,6 +150,7 @@
   std::vector<Waiting> waiting_;
   std::vector<Read> reads_;
   std::uint64_t round_ = 0;
+  std::map<std::uint64_t, Moment> round_sent_;  // of the last rounds
 
   struct Held {
     std::uint64_t need;
--- a/src/coordination/ballots.cpp
+++ b/src/coordination/ballots.cpp
@@ -102,7 +102,10 @@
   if (found == peers_.end()) return take_join(ballot, now);
   Peer& peer = found->second;
   peer.heard = now;
-  peer.round = std::max(peer.round, ballot.round);
+  if (ballot.round > peer.round) {
+    peer.round = ballot.round;
+    if (const auto sent = round_sent_.find(ballot.round); sent != round_sent_.end()) peer.leased = sent->second;
+  }
   if (const auto learner = learners_.find(ballot.from); learner != learners_.end()) learner->second = now;
   if (ballot.is_granted && ballot.entry_term == durable_.entry->term && ballot.entry_index == durable_.entry->index) {
     peer.is_matched = true;
@@ -123,7 +126,7 @@
   }
   if (is_member(ballot.from)) return;
   learners_[ballot.from] = now;
-  const auto [place, is_new] = peers_.try_emplace(ballot.from, Peer{ballot.address, now, {}, false, 0, 0});
+  const auto [place, is_new] = peers_.try_emplace(ballot.from, Peer{ballot.address, now, {}, false, 0, 0, {}});
   place->second.address = ballot.address;
   send_append(place->second, now, true);
 }
--- /dev/null
+++ b/src/coordination/failover.h
@@ -0,0 +1,113 @@
+#pragma once
+// Who leads each database, decided by the leader of the core. Pure: beats, evidence, outcomes and a clock in; orders to
+// databases, calls of duty and proposals out. Every step can be done again: what is agreed is in the table of leads, and
+// the rest is asked from the databases.
+//
+//   led -> closing -> raising -> led        closing -> led, if the old leader is there after all
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "protocol/session_wire.h"
+#include "state/leads.h"
+#include "state/types.h"
+
+namespace saddlewing {
+
+struct FailoverOptions {
+  Span beat_every{1200};  // of backends
+  Span hold{4000};        // of poolers on the table of leads
+  Span settle{6000};      // a new leader of the core waits this long for what its forerunner gave or asked
+  Span ask_again{150};    // of a database that did not answer
+  Span late_raise{4000};  // a call of duty without an answer may take effect until then
+};
+
+// A backend as the failover sees it.
+struct DatabaseSeat {
+  std::string id, service, locality;
+  bool is_leader = false;    // as it says itself
+  bool is_ready = false;     // not emptying
+  Moment beaten{};           // when it was last heard
+};
+
+class Failover {
+ public:
+  struct Order {  // to one database
+    std::uint64_t token;
+    std::string id, text;
+  };
+  struct Raise {  // the call of duty
+    std::uint64_t token;
+    std::string service, id;
+  };
+  struct Output {
+    std::vector<Order> orders;
+    std::vector<Raise> raises;
+    std::optional<LeadTable> proposal;  // replaces the table once agreed
+    std::vector<std::string> news;      // for the log
+  };
+
+  explicit Failover(FailoverOptions options) : options_(options) {}
+
+  // `is_leading`: leads the core under a lease. `table`: as committed.
+  void tick(bool is_leading, const LeadTable& table, const std::map<std::string, int>& services, const std::vector<DatabaseSeat>& seats, Moment now);
+  Output take();
+  void finish_order(std::uint64_t token, std::optional<DatabaseStatus> status, Moment now);
+  void finish_raise(std::uint64_t token, int status, Moment now);  // 0: no answer
+  void finish_proposal() { is_proposing_ = false; }                // agreed or not: the table tells
+
+  // Holds. A grant is for the whole table; nobody else is promoted before it was given back or ran out.
+  void note_pooler(const std::string& from, LifeId life, std::uint64_t mark, const std::string& locality, const std::string& failing,
+                   const std::string& fine, Moment now);
+  std::optional<Span> grant(const std::string& from, LifeId life, Moment now);
+
+ private:
+  struct Holder {
+    LifeId life;
+    std::uint64_t mark = 0;   // of the table it acts by
+    Moment until{}, told{};
+    std::string locality, failing, fine;  // what it saw, by that table
+  };
+  struct Case {  // of one service under change; forgotten with the lead of the core
+    Moment since{}, step_due{}, raised{};
+    std::map<std::string, DatabaseStatus> statuses;
+    std::set<std::string> asked;
+    bool was_raised = false, is_refused = false;
+    std::uint64_t number = 0;  // of the lead it belongs to
+    Lead::Phase phase{};
+    std::uint64_t term_before = 0;
+  };
+  struct Pending {
+    std::string service, id;
+    bool is_step_down = false;
+  };
+  using Seats = std::vector<const DatabaseSeat*>;
+
+  void tend(const std::string& service, int sync, const Seats& seats, Moment now);
+  void found(const std::string& service, const Seats& seats);
+  void watch(const Lead& lead, const Seats& seats, Moment now);
+  void close(const Lead& lead, int sync, const Seats& seats, Moment now);
+  void raise(const Lead& lead, const Seats& seats, Moment now);
+  void ask(const std::string& service, const std::string& id, const std::string& text, bool is_step_down);
+  void change(Lead lead, const std::string& news);
+  bool is_held(std::uint64_t mark, Moment now) const;
+  bool is_given_up(std::size_t place, Moment now, bool& is_unseen) const;
+
+  FailoverOptions options_;
+  bool is_leading_ = false, is_proposing_ = false;
+  Moment led_since_{};
+  LeadTable table_;
+  std::optional<LeadTable> next_;
+  std::map<std::string, Holder> holders_;  // by inner address
+  std::map<std::string, Case> cases_;
+  std::map<std::uint64_t, Pending> pending_;
+  std::map<std::string, Moment> stepped_;  // when a false leader was last told
+  std::map<std::string, std::uint64_t> terms_;  // of each service's log, as last seen of its leader
+  std::uint64_t last_token_ = 0;
+  Output output_;
+};
+
+}  // namespace saddlewing
--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -1,6 +1,7 @@
 #include "coordination/registry.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace saddlewing {
 namespace {
@@ -15,6 +16,7 @@
   Line& line = place->second;
   if (is_new) {
     line.entry = entry;
+    line.beaten = now;
     line.warm_until = after(now, entry.warm_left);
     line.hold_until = after(now, entry.hold_left);
     if (entry.phase == Phase::gone) line.gone_at = now;
@@ -28,7 +30,9 @@
     has_changed = true;
   }
   if (entry.stamp > line.entry.stamp) {
-    has_changed = has_changed || entry.status != line.entry.status;
+    has_changed = has_changed || entry.status != line.entry.status || entry.is_leader != line.entry.is_leader;
+    line.entry.is_leader = entry.is_leader;
+    line.entry.call_count = entry.call_count;
     line.entry.status = entry.status;
     line.entry.stamp = entry.stamp;
     line.hold_until = after(now, entry.hold_left);
@@ -89,6 +93,48 @@
   if (line.entry.status == Status::starting || line.entry.status == Status::down) set_status(line, Status::up);
 }
 
+void Registry::sign(const RosterEntry& entry, Moment now) {
+  is_filled_ = true;
+  RosterEntry told = entry;
+  told.status = told.phase == Phase::ready ? Status::up : Status::out_of_service;
+  told.stamp = told.call_count * 2;  // a sweep's DOWN stands between this call and the next
+  told.hold_left = static_cast<std::uint64_t>(options_.hold.count());
+  const auto found = lines_.find(entry.id);
+  if (found != lines_.end() && told.phase != Phase::gone && told.call_count <= found->second.entry.call_count) return;
+  merge(told, now);
+  Line& line = lines_[entry.id];
+  if (line.entry.phase != Phase::ready && line.entry.status != Status::out_of_service) {
+    line.entry.status = Status::out_of_service;
+    touch(line);
+  }
+  line.beaten = now;
+  renewed_.insert(entry.id);
+  signed_.insert(entry.id);
+}
+
+void Registry::renew_signed(const RenewedIds::Item& item, Moment now) {
+  const auto found = lines_.find(item.id);
+  if (found == lines_.end() || item.call_count <= found->second.entry.call_count) return;
+  Line& line = found->second;
+  const Moment when = now - Span(static_cast<std::int64_t>(std::min<std::uint64_t>(item.age, 60000)));
+  line.entry.call_count = item.call_count;
+  line.entry.stamp = std::max(line.entry.stamp, item.call_count * 2);
+  line.beaten = std::max(line.beaten, when);
+  line.hold_until = std::max(line.hold_until, when + options_.hold);
+  renewed_.insert(item.id);
+  if (line.entry.phase != Phase::ready || line.entry.status != Status::down) return;
+  line.entry.status = Status::up;
+  touch(line);
+}
+
+RenewedIds Registry::take_renewed(Moment now) {
+  RenewedIds renewed;
+  for (const std::string& id : std::exchange(signed_, {}))
+    if (const auto found = lines_.find(id); found != lines_.end() && found->second.entry.phase == Phase::ready)
+      renewed.items.push_back({id, found->second.entry.call_count, static_cast<std::uint64_t>(std::max<std::int64_t>(0, span_between(found->second.beaten, now).count()))});
+  return renewed;
+}
+
 void Registry::sweep(Moment now) {
   if (now - period_start_ >= options_.renewal) {
     renewed_before_ = std::move(renewed_);
@@ -108,7 +154,13 @@
     for (auto& [id, line] : lines_)
       if (line.entry.phase == Phase::ready && line.entry.status == Status::up && named_.contains(line.entry.service) &&
           line.hold_until <= now) {
-        set_status(line, Status::down);
+        if (options_.is_signing_up) {
+          line.entry.status = Status::down;
+          line.entry.stamp = line.entry.call_count * 2 + 1;
+          touch(line);
+        } else {
+          set_status(line, Status::down);
+        }
         ++evicted_;
       }
   forget_gone(now, options_.tombstone);
--- a/src/coordination/registry.h
+++ b/src/coordination/registry.h
@@ -17,6 +17,7 @@
   Span renewal{2000}, hold{6000}, sweep{1000};
   double renewal_threshold = 0.85;
   bool is_preserving = true;
+  bool is_signing_up = false;  // backends tell of themselves; stamps then follow their own count of calls
   Span tombstone{60000};
 };
 
@@ -34,6 +35,7 @@
   struct Line {
     RosterEntry entry;
     Moment warm_until{}, hold_until{}, gone_at{};
+    Moment beaten{};  // when it last told of itself, to this registry or to another
     std::uint64_t mark = 0;  // of the book when the line last changed
   };
   // Merges one entry: phases only rise, the greater stamp decides status and hold. True if something changed.
@@ -57,6 +59,10 @@
   void observe(const std::vector<RosterEntry>& listed, Moment now);
   // A probe's reply is a renewal: the first one makes a starting backend UP.
   void renew(const std::string& id, Moment now);
+  // A backend's own call: its register, its renewal, or with `emptying` or `gone` its cancel. Late calls change nothing.
+  void sign(const RosterEntry& entry, Moment now);
+  void renew_signed(const RenewedIds::Item& item, Moment now);
+  RenewedIds take_renewed(Moment now);  // signed here since the last time
   void sweep(Moment now);
   // Services whose backends are probed.
   void name_services(std::set<std::string> services) { named_ = std::move(services); }
@@ -85,7 +91,7 @@
   Moment last_sweep_{};
   // Renewals of the running and of the last period, against what the holds lead to expect.
   Moment period_start_{};
-  std::set<std::string> renewed_, renewed_before_;
+  std::set<std::string> renewed_, renewed_before_, signed_;
 };
 
 }  // namespace saddlewing
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -34,6 +34,7 @@
   cxxopts::Options options("saddlewing",
                            "A search front over sharded indexes.\n\n"
                            "  broker          carry traffic\n"
+                           "  pooler          carry database sessions\n"
                            "  registry        keep the configuration and the registry of backends\n"
                            "  tracer EDITION  follow one change of the configuration through all nodes\n"
                            "  check FILE      check a startup or a configuration\n");
@@ -42,7 +43,7 @@
       "startup", "startup file (else SADDLEWING_NODE_FILE names it)", cxxopts::value<std::string>())(
       "contact", "tracer: inner address of a node; may be given more than once", cxxopts::value<std::vector<std::string>>())(
       "json", "tracer: print JSON")("wait-ms", "tracer: how long to wait for answers", cxxopts::value<int>()->default_value("2000"))(
-      "command", "broker, registry, tracer or check", cxxopts::value<std::string>())(
+      "command", "broker, pooler, registry, tracer or check", cxxopts::value<std::string>())(
       "file", "check: the file; tracer: the edition", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"command", "file"});
   cxxopts::ParseResult read;
@@ -67,12 +68,13 @@
     return saddlewing::run_check(files[0]);
   }
   if (command == "tracer") return trace(options, read, files);
-  if (command != "broker" && command != "registry") return usage(options, "unknown command " + command);
+  if (command != "broker" && command != "pooler" && command != "registry") return usage(options, "unknown command " + command);
   if (!files.empty()) return usage(options, command + " takes no file");
   const char* told = std::getenv("SADDLEWING_NODE_FILE");
   const std::string path = read.count("startup") ? read["startup"].as<std::string>() : told ? told : "";
   if (path.empty()) return usage(options, "no startup file: give --startup or set SADDLEWING_NODE_FILE");
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(words[0]);
+  if (command == "pooler") return saddlewing::run_pooler(path);
   return command == "broker" ? saddlewing::run_broker(path) : saddlewing::run_registry(path);
 }
--- a/src/programs/aids.cpp
+++ b/src/programs/aids.cpp
@@ -63,7 +63,7 @@
           static_cast<std::uint64_t>(std::max<std::int64_t>(1, span_between(now, errand.cutoff()).count())),
           static_cast<std::uint64_t>(frame_after.count())};
   for (const std::size_t index : best_parts) aid.services.push_back(errand.table().configuration->services[shards[index].value].name);
-  const std::string from = Address{startup_.ip_address, startup_.inner_port}.text();
+  const std::string from = Address{startup_.ip_address, startup_.own_port}.text();
   if (!send_(AidOut{best->address, aid.token, encode(FrameHead{FrameKind::aid, life_, from}, aid)})) return {};
   ++aide.under_way;
   aid_calls_[aid.token] = {&errand, best->address, now, best_parts};
@@ -150,7 +150,7 @@
 void Traffic::send_aided(AidWork& work, Aided aided, Moment) {
   const auto trip = trips_.find(&work);
   if (trip == trips_.end()) return;
-  const std::string from = Address{startup_.ip_address, startup_.inner_port}.text();
+  const std::string from = Address{startup_.ip_address, startup_.own_port}.text();
   send_(AidOut{trip->second->route, 0, encode(FrameHead{FrameKind::aided, life_, from}, aided)});
 }
 
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -25,6 +25,7 @@
   options.beat = startup.beat;
   options.election = startup.election;
   options.draw = life.value;
+  options.voters = static_cast<std::uint32_t>(startup.can_lose) * 2 + 1;
   return options;
 }
 
@@ -36,6 +37,7 @@
   options.renewal_threshold = startup.renewal_threshold;
   options.is_preserving = startup.is_preserving;
   options.tombstone = registry_tombstone(startup);
+  options.is_signing_up = startup.is_signing_up;
   return options;
 }
 
@@ -46,12 +48,13 @@
       events_(4096, [this] { waker_.wake(); }), contacts_(4, [this] { waker_.wake(); }),
       agreement_(std::move(durable), agreement_options(startup, life, address_),
                  inner_addresses(startup.contacts, startup.inner_port), Clock::now()),
-      registry_(registry_options(startup)), rollout_(startup.rollout_wait),
+      registry_(registry_options(startup)), failover_(failover_options(startup)), rollout_(startup.rollout_wait),
       grants_(startup.extra_tries, startup.follow * 5, startup.retry_span), steps_(most_steps) {}
 
 Fault Core::open() { return hub_.open(context_, Address{startup_.ip_address, startup_.inner_port}); }
 
-void Core::start(Desk& desk, Lookout& lookout, Vault& vault) {
+void Core::start(Desk& desk, Lookout& lookout, Vault& vault, Envoy& envoy) {
+  envoy_ = &envoy;
   desk_ = &desk;
   lookout_ = &lookout;
   vault_ = &vault;
@@ -102,6 +105,7 @@
     handle_output(now);
     note_commit(now);
     tend_registry(now);
+    tend_databases(now);
     grants_.lead(agreement_.is_leader() && agreement_.is_confirmed(now), now);
     tend_brokers(now);
     tend_rollout(now);
@@ -128,6 +132,12 @@
     if (is_observing_) registry_.observe(listed->entries, now);
   } else if (const auto* renewed = std::get_if<Renewed>(&event)) {
     if (is_observing_ && !renewed->id.empty()) registry_.renew(renewed->id, now);
+  } else if (auto* backend = std::get_if<BackendCall>(&event)) {
+    take_backend(*backend, now);
+  } else if (const auto* examined = std::get_if<Examined>(&event)) {
+    failover_.finish_order(examined->token, examined->status, now);
+  } else if (const auto* raised = std::get_if<Raised>(&event)) {
+    failover_.finish_raise(raised->token, raised->status, now);
   }
 }
 
@@ -168,6 +178,12 @@
         if ((is_good = decode(reader, roster))) take_roster(head, roster, now);
         break;
       }
+      case FrameKind::renewed: {
+        RenewedIds renewed;
+        if ((is_good = decode(reader, renewed)))
+          for (const RenewedIds::Item& item : renewed.items) registry_.renew_signed(item, now);
+        break;
+      }
       case FrameKind::trace: take_trace(parcel.route, now); break;
       default: is_good = false;
     }
@@ -228,6 +244,7 @@
   if (output.save && !vault_->save(std::move(*output.save))) LOG(ERROR) << "agree: disk thread is behind";
   for (const auto& letter : output.letters) send_to(letter.to, encode(head(), letter.ballot));
   for (const auto& result : output.results) {
+    if (result.token == ~0ull) failover_.finish_proposal();
     const auto found = calls_.find(result.token);
     if (found == calls_.end()) continue;
     if (result.verdict == Agreement::Verdict::done) finish_call(result.token, true, result.state ? result.state->body : "");
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -5,10 +5,12 @@
 #include <thread>
 
 #include "coordination/agreement.h"
+#include "coordination/failover.h"
 #include "coordination/grants.h"
 #include "coordination/registry.h"
 #include "coordination/rollout.h"
 #include "programs/desk.h"
+#include "programs/envoy.h"
 #include "programs/lookout.h"
 #include "programs/rings.h"
 #include "programs/vault.h"
@@ -19,11 +21,14 @@
 
 namespace saddlewing {
 
+inline constexpr Span whole_silence{2500};  // a peer unheard for longer is not named to anyone
+FailoverOptions failover_options(const Startup& startup);
+
 class Core {
  public:
   Core(const Startup& startup, Durable durable, LifeId life);
   Fault open();
-  void start(Desk& desk, Lookout& lookout, Vault& vault);
+  void start(Desk& desk, Lookout& lookout, Vault& vault, Envoy& envoy);
   void leave() {  // hands the lead over and ends
     should_leave_ = true;
     events_.push(Renewed{});
@@ -50,12 +55,16 @@
     std::uint64_t seats_mark = 0;  // of the seats it knows
     Edition held;
     std::uint64_t sent_mark = 0;
+    bool wants_roster = false, is_pooler = false;
+    std::uint64_t token = 0, leads_mark = 0;  // of its last follow
     Moment heard;
   };
   struct Peer {
     LifeId life;
-    std::uint64_t sent_mark = 0;
-    Moment whole_due{}, observed{}, sent{};
+    std::uint64_t sent_mark = 0, taken_mark = 0;  // taken_mark: of its roster, as far as it came here
+    bool is_missing = false;                      // something of its roster did not come
+    std::string locality;
+    Moment whole_due{}, observed{}, sent{}, heard{};
   };
 
   void run();
@@ -72,7 +81,10 @@
   void tend_registry(Moment now);
   void tend_brokers(Moment now);
   void tend_rollout(Moment now);
-  void send_beat(const Broker& broker, bool is_granting, Moment now);
+  void send_beat(const Broker& broker, bool is_granting, Moment now, Beat beat = {});
+  void take_backend(BackendCall& call, Moment now);
+  void tend_databases(Moment now);
+  void take_pooler(const FrameHead& from, const Follow& follow, Broker& broker, Beat& beat, Moment now);
   void send_to(const std::string& address, const std::string& bytes);
   void reach(const std::string& address);
   FrameHead head() const { return {FrameKind::ballot, life_, address_}; }
@@ -91,6 +103,13 @@
   Desk* desk_ = nullptr;
   Lookout* lookout_ = nullptr;
   Vault* vault_ = nullptr;
+  Envoy* envoy_ = nullptr;
+  Failover failover_;
+  LeadTable leads_;         // as committed
+  std::string leads_text_;  // the same, as it travels
+  EntryCapture leads_seen_;
+  Term led_term_;           // the last term the failover knew of
+  Moment renewed_due_{};
 
   std::map<std::uint64_t, PendingCall> calls_;
   std::uint64_t last_call_ = 0;
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Span whole_every{5000};  // anti-entropy between registries
-constexpr Span broker_silence{3000};  // then a broker no longer counts
+constexpr Span broker_silence{4000};  // then a broker no longer counts
 
 }  // namespace
 
@@ -22,6 +22,11 @@
     peer.life = from.life;
   }
   if (roster.is_observed) peer.observed = now;
+  peer.heard = now;
+  peer.locality = roster.locality;
+  if (roster.wants_whole) peer.whole_due = {};
+  if (!roster.is_whole && roster.base > peer.taken_mark) peer.is_missing = true;
+  else peer.taken_mark = roster.mark, peer.is_missing = peer.is_missing && !roster.is_whole;
   registry_.take(roster, now);
 }
 
@@ -33,7 +38,7 @@
   const bool is_seen_elsewhere = std::any_of(peers_.begin(), peers_.end(), [&](const auto& peer) {
     return peer.second.observed != Moment{} && now - peer.second.observed < startup_.listing * 3;
   });
-  const bool should_observe = agreement_.is_leader() || !is_seen_elsewhere;
+  const bool should_observe = agreement_.is_leader() || (!is_seen_elsewhere && !startup_.is_signing_up);
   if (should_observe && !is_observing_) {
     registry_.set_stamp_base(agreement_.term().value << 32);
     LOG(INFO) << "registry: observes the platform";
@@ -57,8 +62,8 @@
   if (has_turned || ordered_mark_ != registry_.mark()) {
     ordered_mark_ = registry_.mark();
     auto order = std::make_shared<WatchOrder>();
-    order->is_observing = is_observing_;
-    if (configuration_) {
+    order->is_observing = is_observing_ && !startup_.is_signing_up;  // who tells of itself need not be looked for
+    if (configuration_ && order->is_observing) {
       std::map<std::string, std::string> paths;
       for (const Service& service : configuration_->services) paths[service.name] = service.health_path;
       for (const ProbeTarget& target : registry_.targets())
@@ -71,19 +76,23 @@
     Peer& peer = peers_[address];
     const bool is_whole = now >= peer.whole_due;
     const bool has_news = registry_.mark() > peer.sent_mark;
-    const bool is_sign_due = is_observing_ && now - peer.sent >= startup_.listing;
-    if (!is_whole && !has_news && !is_sign_due) continue;
+    const bool is_sign_due = now - peer.sent >= (is_observing_ ? startup_.listing : startup_.listing * 4);
+    if (!is_whole && !has_news && !is_sign_due && !peer.is_missing) continue;
     peer.sent = now;
     Roster roster = registry_.since(is_whole ? 0 : peer.sent_mark, now);
     roster.is_observed = is_observing_;
+    roster.locality = startup_.locality;
+    roster.wants_whole = peer.is_missing;
     peer.sent_mark = registry_.mark();
     if (is_whole) peer.whole_due = now + whole_every;
     send_to(address, encode(head(), roster));
   }
 }
 
-void Core::send_beat(const Broker& to, bool is_granting, Moment now) {
-  Beat beat;
+void Core::send_beat(const Broker& to, bool is_granting, Moment now, Beat beat) {
+  beat.is_leader = agreement_.is_leader();
+  beat.locality = startup_.locality;
+  beat.region = startup_.region;
   if (agreement_.committed()) beat.edition = agreement_.committed()->edition;
   beat.in_force = rollout_.in_force();
   beat.is_confirmed = agreement_.is_confirmed(now);
@@ -92,7 +101,7 @@
   beat.registries = agreement_.known_addresses();
   beat.registries.push_back(address_);
   for (const auto& [from, broker] : brokers_) {
-    if (!broker.is_ready) continue;
+    if (!broker.is_ready || !to.wants_roster || to.is_pooler) continue;
     beat.seats.push_back({from, broker.region});
     beat.seats_mark = beat.seats_mark * 31 + std::hash<std::string>{}(from + broker.region);
   }
@@ -101,6 +110,8 @@
     beat.grant_valid = static_cast<std::uint64_t>(grants_.valid().count());
   }
   if (beat.seats_mark == to.seats_mark) beat.seats.clear();
+  beat.leads_mark = leads_.mark;
+  if (to.is_pooler && to.leads_mark < leads_.mark) beat.leads = leads_text_;
   hub_.send(to.route, encode(head(), beat));
 }
 
@@ -116,18 +127,22 @@
   broker.held = follow.edition;
   broker.heard = now;
   broker.sent_mark = follow.roster_life == life_.value ? follow.roster_mark : 0;
-  send_beat(broker, true, now);
+  broker.wants_roster = follow.wants_roster;
+  broker.leads_mark = follow.leads_mark;
+  Beat beat;
+  if (!follow.locality.empty()) take_pooler(from, follow, broker, beat, now);
+  send_beat(broker, true, now, std::move(beat));
   const EntryCapture& committed = agreement_.committed();
   if (follow.wants_body && committed && committed->edition > follow.edition)
     hub_.send(route, encode(head(), Body{committed->edition, committed->body}));
-  if (broker.sent_mark == 0 && registry_.mark() == 0) hub_.send(route, encode(head(), registry_.since(0, now)));
+  if (follow.wants_roster && broker.sent_mark == 0 && registry_.mark() == 0) hub_.send(route, encode(head(), registry_.since(0, now)));
 }
 
 // Changes go out at once; whoever missed some says so with its next follow.
 void Core::tend_brokers(Moment now) {
   std::erase_if(brokers_, [&](const auto& broker) { return now - broker.second.heard > broker_silence; });
   for (auto& [from, broker] : brokers_) {
-    if (broker.sent_mark >= registry_.mark()) continue;
+    if (!broker.wants_roster || broker.sent_mark >= registry_.mark()) continue;
     if (hub_.send(broker.route, encode(head(), registry_.since(broker.sent_mark, now)))) broker.sent_mark = registry_.mark();
   }
 }
--- a/src/programs/desk.cpp
+++ b/src/programs/desk.cpp
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 #include <json/json.h>
 
+#include "coordination/beat.h"
 #include "protocol/calls.h"
 #include "state/configuration.h"
 #include "state/metrics.h"
@@ -64,7 +65,8 @@
     } else if (is_read && outcome.body.empty()) {
       finish(outcome.token, json_reply(Kind::no_rule, "no configuration was taken yet"), now);
     } else {
-      Reply reply{200, "OK", "Content-Type: application/json\r\n", is_read ? std::move(outcome.body) : "{}\n"};
+      if (!is_read && outcome.body.empty()) outcome.body = "{}\n";
+      Reply reply{200, "OK", "Content-Type: application/json\r\n", std::move(outcome.body)};
       finish(outcome.token, std::move(reply), now);
     }
   }
@@ -75,6 +77,7 @@
   const std::string& target = request.getURI();
   if (target == row_of(Call::metrics).path)
     return visit.answer({200, "OK", "Content-Type: text/plain; version=0.0.4\r\n", metrics().page()}, now);
+  if (target.starts_with(row_of(Call::beat).path)) return take_backend(visit, now);
   metrics().add(Metric::calls_taken);
   if (target.substr(0, target.find('?')) != row_of(Call::put_settings).path)
     return visit.answer(json_reply(Kind::no_rule, "only /settings is served here"), now);
@@ -92,15 +95,35 @@
   refer(visit, {0, false, capture->edition, std::move(visit.body())}, now);
 }
 
-void Desk::refer(Visit& visit, OperatorCall call, Moment now) {
-  call.token = ++last_token_;
-  Open& open = open_[call.token];
+std::uint64_t Desk::open_call(Visit& visit, bool is_read, Moment now) {
+  Open& open = open_[++last_token_];
   open.desk = this;
-  open.token = call.token;
+  open.token = last_token_;
   open.visit = visit.id();
-  open.is_read = call.is_read;
+  open.is_read = is_read;
   schedule_.set(open, now + most_wait);
-  const std::uint64_t token = call.token;
+  return last_token_;
+}
+
+void Desk::refer(Visit& visit, OperatorCall call, Moment now) {
+  const std::uint64_t token = call.token = open_call(visit, call.is_read, now);
+  if (!events_.push(std::move(call))) finish(token, json_reply(Kind::overloaded, "too many calls at once"), now);
+}
+
+// A backend's beat, or its leaving. What is wrong is named and changes nothing.
+void Desk::take_backend(Visit& visit, Moment now) {
+  const auto& request = visit.request();
+  BackendCall call;
+  const bool is_leaving = request.getMethod() == row_of(Call::leave).method;
+  if (!is_leaving && request.getMethod() != row_of(Call::beat).method)
+    return visit.answer(json_reply(Kind::wrong_method, "PUT and DELETE are served here"), now);
+  const std::string id = request.getURI().substr(row_of(Call::beat).path.size());
+  Fault found = read_beat(id, visit.body(), is_leaving, call.entry);
+  if (found) {
+    LOG_EVERY_N(WARNING, 20) << "steering: beat refused: " << found.step;
+    return visit.answer(json_reply(Kind::invalid, found.step), now);
+  }
+  const std::uint64_t token = call.token = open_call(visit, false, now);
   if (!events_.push(std::move(call))) finish(token, json_reply(Kind::overloaded, "too many calls at once"), now);
 }
 
--- a/src/programs/desk.h
+++ b/src/programs/desk.h
@@ -31,6 +31,8 @@
   };
   void run();
   void take_outcomes(Moment now);
+  std::uint64_t open_call(Visit& visit, bool is_read, Moment now);
+  void take_backend(Visit& visit, Moment now);
   void refer(Visit& visit, OperatorCall call, Moment now);
   void finish(std::uint64_t token, Reply reply, Moment now);
 
--- /dev/null
+++ b/src/programs/envoy.cpp
@@ -0,0 +1,106 @@
+#include "programs/envoy.h"
+
+#include <glog/logging.h>
+#include <json/json.h>
+
+#include <algorithm>
+
+#include "protocol/calls.h"
+
+namespace saddlewing {
+namespace {
+
+constexpr Span database_wait{600}, platform_wait{3000};
+
+}  // namespace
+
+Envoy::Envoy(const Startup& startup, Ring<CoreEvent>& events)
+    : startup_(startup), events_(events), orders_(1024, [this] { poller_.wake(); }) {}
+
+void Envoy::start() { thread_ = std::thread([this] { run(); }); }
+
+void Envoy::stop() {
+  should_stop_ = true;
+  poller_.wake();
+  if (thread_.joinable()) thread_.join();
+}
+
+void Envoy::run() {
+  while (!should_stop_) {
+    poller_.poll(schedule_.until_next(Clock::now(), Span(1000)));
+    const Moment now = Clock::now();
+    for (EnvoyOrder& order : orders_.take()) begin(std::move(order), now);
+    schedule_.run(now);
+    std::erase_if(errands_, [](const auto& errand) { return errand->is_over; });
+  }
+}
+
+void Envoy::begin(EnvoyOrder order, Moment now) {
+  errands_.push_back(std::make_unique<Errand>(*this, std::move(order)));
+  Errand& errand = *errands_.back();
+  if (!errand.order.text.empty()) {
+    schedule_.set(errand, now + database_wait);
+    errand.link = std::make_unique<WireLink>(poller_, WireLink::Owner{[this, &errand](WireMessage&& message) { return take(errand, std::move(message)); },
+                                                                      [this, &errand](WireStep) { finish(errand, 0); }});
+    Address address;
+    if (!parse_address(errand.order.address, address) || !errand.link->connect(address) ||
+        !errand.link->send(wire(WireKind::connect, {errand.order.service, "saddlewing", errand.order.id})))
+      finish(errand, 0);
+    return;
+  }
+  if (now > errand.order.until) return finish(errand, 0);
+  schedule_.set(errand, now + platform_wait);
+  Json::Value value(Json::objectValue);
+  value["service"] = errand.order.service;
+  value["id"] = errand.order.id;
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  const std::string body = Json::writeString(builder, value);
+  const CallRow& row = row_of(Call::raise);
+  std::string request = std::string(row.method) + " " + std::string(row.path) + " HTTP/1.1\r\nHost: " + startup_.platform.text() + "\r\n";
+  request += std::string(field::duty_owner) + ": " + startup_.node_name + "\r\n" + field::owner_number + ": " + std::to_string(errand.order.owner_number);
+  request += "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  errand.caller = std::make_unique<Caller>(poller_, errand, startup_.platform, 16384, 65536);
+  if (!errand.caller->ask(request, false)) finish(errand, 0);
+}
+
+bool Envoy::take(Errand& errand, WireMessage&& message) {
+  if (errand.is_over) return false;
+  if (message.kind == WireKind::error) finish(errand, 0);
+  if (message.kind == WireKind::row) errand.row = message.field(0);
+  if (message.kind != WireKind::ready || errand.is_over) return !errand.is_over;
+  if (errand.is_greeted) finish(errand, 200);
+  else if (!errand.link->send(wire_ask("-", errand.order.text))) finish(errand, 0);
+  errand.is_greeted = true;
+  return !errand.is_over;
+}
+
+void Envoy::finish(Errand& errand, int status) {
+  if (errand.is_over) return;
+  errand.is_over = true;
+  schedule_.drop(errand);
+  if (errand.caller) {
+    LOG(INFO) << "envoy: the platform was told that " << errand.order.id << " is to lead " << errand.order.service << ": "
+              << (status ? std::to_string(status) : "no answer");
+    events_.push(Raised{errand.order.token, status});
+    return;
+  }
+  if (errand.order.text.empty()) {
+    events_.push(Raised{errand.order.token, 0});
+    return;
+  }
+  Examined examined{errand.order.token, std::nullopt};
+  DatabaseStatus read;
+  if (status == 200 && read_status(errand.row, read)) examined.status = read;
+  events_.push(std::move(examined));
+  errand.link->close();
+}
+
+void Envoy::Errand::on_due(Moment) {
+  if (caller) caller->end();
+  envoy.finish(*this, 0);
+}
+void Envoy::Errand::on_outcome(Caller& from, Moment) { envoy.finish(*this, from.reader().response().getStatus()); }
+void Envoy::Errand::on_breakdown(Caller&, Kind, Moment) { envoy.finish(*this, 0); }
+
+}  // namespace saddlewing
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -10,16 +10,18 @@
 constexpr Span fetch_again{300};  // a body that did not come is asked for elsewhere
 constexpr Span eager_follow{50};  // until it is ready
 constexpr std::size_t most_steps = 64, most_aides = 4;  // most_aides: of one region
+constexpr std::size_t seldom = 4;         // of how many turns one reaches registries that neither lead nor feed
+constexpr Span feed_wait{500};            // a feed that brings nothing is changed for another
 
 }  // namespace
 
 Follower::Follower(const Startup& startup, LifeId life, std::function<void(ViewCapture)> show, std::function<void(AidEvent)> tell)
-    : startup_(startup), life_(life), address_(Address{startup.ip_address, startup.inner_port}.text()), show_(std::move(show)),
+    : startup_(startup), life_(life), address_(Address{startup.ip_address, startup.own_port}.text()), show_(std::move(show)),
       tell_(std::move(tell)), contacts_(4, [this] { waker_.wake(); }), outs_(1024, [this] { waker_.wake(); }), turnover_(startup.rollout_wait * 2), born_(Clock::now()), steps_(most_steps) {
   contacts_.push(startup.contacts);
 }
 
-Fault Follower::open() { return hub_.open(context_, Address{startup_.ip_address, startup_.inner_port}); }
+Fault Follower::open() { return hub_.open(context_, Address{startup_.ip_address, startup_.own_port}); }
 void Follower::start() { thread_ = std::thread([this] { run(); }); }
 
 void Follower::stop() {
@@ -50,6 +52,11 @@
       const auto is_in = [&](const auto& list) { return std::find(list.begin(), list.end(), source.first) != list.end(); };
       return !is_in(seeds_) && !is_in(registries_);
     });
+    if (const std::uint64_t mark = confirmed_mark_; mark != told_mark_) {
+      told_mark_ = mark;
+      for (auto& [address, source] : sources_)
+        if (source.is_leader) follow_one(source, false);
+    }
     if (now >= follow_due_) follow_all(now);
     handles.assign({hub_.handle()});
     for (const auto& [address, source] : sources_) handles.push_back(source.spoke->handle());
@@ -73,14 +80,57 @@
 }
 
 void Follower::follow_one(Source& source, bool wants_body) {
-  source.spoke->send(encode({FrameKind::follow, life_, address_},
-                           Follow{turnover_.held(), source.life, source.mark, wants_body, startup_.region, is_ready_ && !is_leaving_, seats_mark_}));
+  Follow follow{turnover_.held(), source.life, source.mark, wants_body, source.is_feed, startup_.region, is_ready_ && !is_leaving_, seats_mark_,
+                token_, confirmed_mark_, hold_ ? startup_.locality : std::string(), {}, {}, {}};
+  if (hold_ && (source.is_leader || source.is_feed)) {
+    follow.failing = seen_.failing;
+    follow.fine = seen_.fine;
+    follow.samples = seen_.samples;
+    if (seen_.mark != follow.leads_mark) follow.failing.clear(), follow.fine.clear();
+  }
+  source.spoke->send(encode({FrameKind::follow, life_, address_}, follow));
+}
+
+// One registry's roster is enough: the nearest that is heard. Another takes its place when it falls silent.
+void Follower::choose_feed(Moment now) {
+  const auto rank = [&](const Source& source) {
+    const int way = source.locality == startup_.locality ? 3 : source.region == startup_.region ? 2 : 1;
+    return source.is_confirmed ? way + 4 : way;  // one cut off from the core hears of no cancel
+  };
+  Source* best = nullptr;
+  for (auto& [address, source] : sources_) {
+    if (source.is_feed) {
+      const bool is_silent = now - std::max(source.heard, source.fed) > startup_.follow * 3;
+      const bool is_empty = !source.has_roster && now - source.fed > feed_wait;
+      source.is_feed = !is_silent && !is_empty;
+      if (!source.is_feed) source.fed = now, source.heard = {};
+    }
+    if (source.heard == Moment{} || now - source.heard > startup_.follow * 3 * static_cast<int>(seldom)) continue;
+    if (!best || std::pair(rank(source), source.is_feed) > std::pair(rank(*best), best->is_feed)) best = &source;
+  }
+  if (!best || best->is_feed) return;
+  for (auto& [address, source] : sources_) source.is_feed = false;
+  best->is_feed = true;
+  best->fed = now;
+  follow_one(*best, false);
 }
 
 void Follower::follow_all(Moment now) {
   followed_ = now;
   follow_due_ = now + (is_ready_ ? startup_.follow : eager_follow);
-  for (auto& [address, source] : sources_) follow_one(source, false);
+  for (Evidence& evidence : evidence_.take()) seen_ = std::move(evidence);
+  asked_[++token_] = now;
+  while (asked_.size() > 64) asked_.erase(asked_.begin());
+  ++turn_;
+  const bool is_led = std::any_of(sources_.begin(), sources_.end(), [&](const auto& item) {
+    return item.second.is_leader && now - item.second.heard < startup_.follow * 3;
+  });
+  std::size_t place = 0;
+  for (auto& [address, source] : sources_) {
+    if (is_ready_ && is_led && !source.is_leader && !source.is_feed && (turn_ + ++place) % seldom != 0) continue;
+    follow_one(source, false);
+  }
+  choose_feed(now);
   book_.forget_gone(now, registry_tombstone(startup_));
 }
 
@@ -112,7 +162,13 @@
 
 void Follower::take_beat(Source& source, const Beat& beat, Moment now) {
   source.edition = beat.edition;
-  turnover_.see_in_force(beat.in_force);
+  source.is_leader = beat.is_leader;
+  source.locality = beat.locality;
+  source.region = beat.region;
+  // The leader alone hears of every broker often.
+  if (beat.is_leader) turnover_.see_in_force(beat.in_force);
+  if (hold_) take_hold(beat, now);
+  if (!is_ready_) choose_feed(now);
   if (beat.grant_valid) {  // its span runs from the leader's sending, which is after our follow
     reserve_.take(static_cast<double>(beat.grant) / 1000, Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.grant_valid, 60000))), followed_);
     if (now - reserve_shown_ >= startup_.follow * 2) {  // well before the one shown runs out
@@ -134,6 +190,24 @@
   turn(now);
 }
 
+// Invariant: a hold counts from the moment of asking, and a table is handed on before a hold that covers it.
+void Follower::take_hold(const Beat& beat, Moment) {
+  HoldNews news;
+  if (!beat.leads.empty() && beat.leads_mark > leads_mark_) {
+    auto table = std::make_shared<LeadTable>();
+    if (decode_leads(beat.leads, *table) && table->mark == beat.leads_mark) {
+      leads_mark_ = table->mark;
+      news.leads = std::move(table);
+    }
+  }
+  const auto asked = asked_.find(beat.token);
+  if (beat.hold && asked != asked_.end())
+    hold_until_ = std::max(hold_until_, asked->second + Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.hold, 60000))));
+  news.until = hold_until_;
+  if (news.leads || beat.hold) hold_(std::move(news));
+  if (!beat.samples.empty() && sample_) sample_(beat.samples);
+}
+
 // Of each other region a few, spread by hash so that every broker is some others' choice.
 void Follower::take_seats(const Beat& beat) {
   seats_mark_ = beat.seats_mark;
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -13,6 +13,7 @@
 #include "coordination/rollout.h"
 #include "protocol/steps.h"
 #include "state/configuration.h"
+#include "state/leads.h"
 #include "state/startup.h"
 #include "transport/link.h"
 
@@ -29,6 +30,18 @@
 };
 using ViewCapture = std::shared_ptr<const View>;
 
+// The leads a pooler may act by, and until when.
+struct HoldNews {
+  std::shared_ptr<const LeadTable> leads;  // null: as before
+  Moment until{};
+};
+// What a pooler saw of its leads, a bit for each lead of the table of this mark.
+struct Evidence {
+  std::uint64_t mark = 0;
+  std::string failing, fine;
+  std::string samples;
+};
+
 // Frames between brokers, handed over by the traffic thread.
 struct AidOut {
   std::string to;           // inner address for an aid, route for its outcome
@@ -56,6 +69,16 @@
   void stop();
   bool send(AidOut out) { return outs_.push(std::move(out)); }
   void set_leaving() { is_leaving_ = true; }
+  // Of a pooler: who is told of leads and samples; the follower tells the registries what was done by then.
+  void set_pooler(std::function<void(HoldNews)> hold, std::function<void(std::string)> sample) {
+    hold_ = std::move(hold);
+    sample_ = std::move(sample);
+  }
+  void confirm_leads(std::uint64_t mark) {  // nothing is done by an earlier table any more
+    confirmed_mark_ = mark;
+    waker_.wake();
+  }
+  void report(Evidence evidence) { evidence_.push(std::move(evidence)); }
   void set_contacts(const std::vector<Address>& contacts) {
     contacts_.push(contacts);
   }
@@ -65,7 +88,10 @@
     std::unique_ptr<Spoke> spoke;
     std::uint64_t life = 0, mark = 0;  // of its roster, as far as taken
     Edition edition;                   // it holds committed
-    bool is_confirmed = false, is_filled = false, has_roster = false;
+    bool is_confirmed = false, is_filled = false, has_roster = false, is_leader = false;
+    bool is_feed = false;              // asked for its roster
+    std::string locality, region;
+    Moment fed{};                      // when it became the feed
     Moment heard{};
   };
   void run();
@@ -76,6 +102,8 @@
   void take_roster(Source& source, const FrameHead& head, const Roster& roster, Moment now);
   void follow_all(Moment now);
   void follow_one(Source& source, bool wants_body);
+  void choose_feed(Moment now);
+  void take_hold(const Beat& beat, Moment now);
   void fetch(Moment now);
   void check_ready(Moment now);
   void turn(Moment now);
@@ -107,6 +135,16 @@
   Reserve reserve_;
   Moment reserve_shown_{};
   Moment followed_{};  // when the last follow left: a grant counts from there
+  std::size_t turn_ = 0;  // of following: those that neither lead nor feed are asked less often
+
+  std::function<void(HoldNews)> hold_;
+  std::function<void(std::string)> sample_;
+  Ring<Evidence> evidence_{16, {}};
+  Evidence seen_;
+  std::atomic<std::uint64_t> confirmed_mark_ = 0;
+  std::uint64_t told_mark_ = 0, leads_mark_ = 0, token_ = 0;  // leads_mark_: of the table handed on
+  std::map<std::uint64_t, Moment> asked_;                     // when the follow of a token left
+  Moment hold_until_{};
   StepLog steps_;
   std::atomic<bool> should_stop_ = false, is_leaving_ = false;
   std::thread thread_;
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -6,6 +6,7 @@
 
 namespace saddlewing {
 
+int run_pooler(const std::string& startup_path);
 int run_broker(const std::string& startup_path);
 int run_registry(const std::string& startup_path);
 // Contacts are inner addresses.
--- a/src/programs/registry_program.cpp
+++ b/src/programs/registry_program.cpp
@@ -65,6 +65,7 @@
   Desk desk(startup, core->events());
   Lookout lookout(startup, core->events());
   Vault vault(store, core->events());
+  Envoy envoy(startup, core->events());
   for (const Fault& found : {core->open(), desk.open()})
     if (found) {
       LOG(ERROR) << "startup: " << found.text();
@@ -73,13 +74,15 @@
   vault.start();
   desk.start();
   lookout.start();
-  core->start(desk, lookout, vault);
+  envoy.start();
+  core->start(desk, lookout, vault, envoy);
   LOG(INFO) << "registry: started as " << startup.node_name;
   signals.serve(startup_path, true, [&](const Startup& changed) { core->set_contacts(changed.contacts); });
   core->leave();
   core->join();
   desk.stop();
   lookout.stop();
+  envoy.stop();
   vault.stop();
   LOG(INFO) << "registry: ended";
   google::FlushLogFiles(google::INFO);
--- a/src/programs/rings.h
+++ b/src/programs/rings.h
@@ -1,12 +1,14 @@
 #pragma once
 // What the threads of a registry hand each other.
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "coordination/agreement.h"
 #include "coordination/registry.h"
+#include "protocol/session_wire.h"
 #include "state/types.h"
 #include "transport/ring.h"
 
@@ -25,6 +27,26 @@
   std::string body;
 };
 
+struct BackendCall {  // steering to agree: a backend tells of itself
+  std::uint64_t token = 0;
+  RosterEntry entry;  // phase gone: it leaves
+};
+struct Examined {  // envoy to agree: what came of an order to a database
+  std::uint64_t token = 0;
+  std::optional<DatabaseStatus> status;
+};
+struct Raised {  // envoy to agree: what the platform said; 0: nothing
+  std::uint64_t token = 0;
+  int status = 0;
+};
+struct EnvoyOrder {  // agree to envoy
+  std::uint64_t token = 0;
+  std::string service, id, address;  // of a database
+  std::string text;                  // empty: the call of duty for this backend
+  std::uint64_t owner_number = 0;
+  Moment until{};                    // not begun after that: the lease would be over
+};
+
 struct Saved {  // disk to agree
   std::uint64_t serial = 0;
   bool is_saved = false;
@@ -35,7 +57,7 @@
 struct Renewed {  // watch to agree: a probe was answered
   std::string id;
 };
-using CoreEvent = std::variant<OperatorCall, Saved, Listed, Renewed>;
+using CoreEvent = std::variant<OperatorCall, Saved, Listed, Renewed, BackendCall, Examined, Raised>;
 
 struct WatchTarget {
   std::string id, address, health_path;
--- a/src/protocol/calls.h
+++ b/src/protocol/calls.h
@@ -4,7 +4,7 @@
 
 namespace saddlewing {
 
-enum class Call { put_settings, get_settings, readiness, list_backends, probe_backend, metrics };
+enum class Call { put_settings, get_settings, readiness, list_backends, probe_backend, metrics, beat, leave, raise };
 
 struct CallRow {
   Call call;
@@ -19,6 +19,9 @@
     {Call::list_backends, "GET", "/backends"},
     {Call::probe_backend, "GET", ""},
     {Call::metrics, "GET", "/metrics"},
+    {Call::beat, "PUT", "/backends/"},   // and the backend's id
+    {Call::leave, "DELETE", "/backends/"},
+    {Call::raise, "POST", "/raise"},
 };
 
 constexpr const CallRow& row_of(Call call) {
@@ -37,6 +40,8 @@
 inline constexpr const char* not_run = "Not-Run";
 inline constexpr const char* seal = "Answer-Seal";
 inline constexpr const char* part_seals = "Part-Seals";
+inline constexpr const char* duty_owner = "Duty-Owner";
+inline constexpr const char* owner_number = "Owner-Number";
 inline constexpr const char* parts_missing = "Parts-Missing";
 }  // namespace field
 
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -3,7 +3,7 @@
 namespace saddlewing {
 namespace {
 
-constexpr std::uint64_t protocol_number = 0x5357'0001;
+constexpr std::uint64_t protocol_number = 0x5357'0002;
 
 Writer open_frame(const FrameHead& head, FrameKind kind) {
   Writer writer;
@@ -106,8 +106,9 @@
 
 std::string encode(const FrameHead& head, const Follow& value) {
   Writer writer = open_frame(head, FrameKind::follow);
-  writer.number(value.edition.value).number(value.roster_life).number(value.roster_mark).number(value.wants_body);
+  writer.number(value.edition.value).number(value.roster_life).number(value.roster_mark).number(value.wants_body).number(value.wants_roster);
   writer.text(value.region).number(value.is_ready).number(value.seats_mark);
+  writer.number(value.token).number(value.leads_mark).text(value.locality).text(value.failing).text(value.fine).text(value.samples);
   return writer.take();
 }
 
@@ -116,19 +117,28 @@
   value.roster_life = reader.number();
   value.roster_mark = reader.number();
   value.wants_body = reader.number();
+  value.wants_roster = reader.number();
   value.region = reader.text();
   value.is_ready = reader.number();
   value.seats_mark = reader.number();
+  value.token = reader.number();
+  value.leads_mark = reader.number();
+  value.locality = reader.text();
+  value.failing = reader.text();
+  value.fine = reader.text();
+  value.samples = reader.text();
   return reader.is_whole();
 }
 
 std::string encode(const FrameHead& head, const Beat& value) {
   Writer writer = open_frame(head, FrameKind::beat);
-  writer.number(value.edition.value).number(value.in_force.value).number(value.is_confirmed).number(value.is_filled).number(value.brokers);
+  writer.number(value.edition.value).number(value.in_force.value).number(value.is_confirmed).number(value.is_filled).number(value.is_leader);
+  writer.text(value.locality).text(value.region).number(value.brokers);
   writer.number(value.grant).number(value.grant_valid);
   write_texts(writer, value.registries);
   writer.number(value.seats_mark).number(value.seats.size());
   for (const BrokerSeat& seat : value.seats) writer.text(seat.address).text(seat.region);
+  writer.number(value.token).number(value.hold).number(value.leads_mark).text(value.leads).text(value.samples);
   return writer.take();
 }
 
@@ -137,6 +147,9 @@
   value.in_force = read_edition(reader);
   value.is_confirmed = reader.number();
   value.is_filled = reader.number();
+  value.is_leader = reader.number();
+  value.locality = reader.text();
+  value.region = reader.text();
   value.brokers = reader.number();
   value.grant = reader.number();
   value.grant_valid = reader.number();
@@ -147,6 +160,11 @@
     seat.address = reader.text();
     seat.region = reader.text();
   }
+  value.token = reader.number();
+  value.hold = reader.number();
+  value.leads_mark = reader.number();
+  value.leads = reader.text();
+  value.samples = reader.text();
   return reader.is_whole();
 }
 
@@ -164,12 +182,12 @@
 
 std::string encode(const FrameHead& head, const Roster& value) {
   Writer writer = open_frame(head, FrameKind::roster);
-  writer.number(value.is_whole).number(value.is_observed).number(value.is_filled).number(value.base).number(value.mark);
+  writer.number(value.is_whole).number(value.is_observed).number(value.is_filled).number(value.wants_whole).text(value.locality).number(value.base).number(value.mark);
   writer.number(value.entries.size());
   for (const RosterEntry& entry : value.entries) {
     writer.text(entry.id).text(entry.service).text(entry.address).text(entry.locality).text(entry.software);
     writer.number(entry.capacity).number(static_cast<std::uint64_t>(entry.phase)).number(static_cast<std::uint64_t>(entry.status));
-    writer.number(entry.stamp).number(entry.warm_left).number(entry.hold_left);
+    writer.number(entry.stamp).number(entry.warm_left).number(entry.hold_left).number(entry.is_leader).number(entry.call_count);
   }
   return writer.take();
 }
@@ -178,9 +196,11 @@
   value.is_whole = reader.number();
   value.is_observed = reader.number();
   value.is_filled = reader.number();
+  value.wants_whole = reader.number();
+  value.locality = reader.text();
   value.base = reader.number();
   value.mark = reader.number();
-  value.entries.resize(reader.count(88));
+  value.entries.resize(reader.count(104));
   for (RosterEntry& entry : value.entries) {
     entry.id = reader.text();
     entry.service = reader.text();
@@ -192,6 +212,8 @@
     entry.stamp = reader.number();
     entry.warm_left = reader.number();
     entry.hold_left = reader.number();
+    entry.is_leader = reader.number();
+    entry.call_count = reader.number();
   }
   return reader.is_whole();
 }
@@ -272,10 +294,27 @@
   return reader.is_whole();
 }
 
+std::string encode(const FrameHead& head, const RenewedIds& value) {
+  Writer writer = open_frame(head, FrameKind::renewed);
+  writer.number(value.items.size());
+  for (const RenewedIds::Item& item : value.items) writer.text(item.id).number(item.call_count).number(item.age);
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, RenewedIds& value) {
+  value.items.resize(reader.count(24));
+  for (RenewedIds::Item& item : value.items) {
+    item.id = reader.text();
+    item.call_count = reader.number();
+    item.age = reader.number();
+  }
+  return reader.is_whole();
+}
+
 bool decode_head(ByteReader& reader, FrameHead& head) {
   if (reader.number() != protocol_number) return false;
   const std::uint64_t kind = reader.number();
-  if (kind < static_cast<std::uint64_t>(FrameKind::ballot) || kind > static_cast<std::uint64_t>(FrameKind::aided)) return false;
+  if (kind < static_cast<std::uint64_t>(FrameKind::ballot) || kind > static_cast<std::uint64_t>(FrameKind::renewed)) return false;
   head.kind = static_cast<FrameKind>(kind);
   head.life.value = reader.number();
   head.from = reader.text();
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -24,6 +24,7 @@
   traced,       // a node's recent steps
   aid,          // a broker has parts gathered by one near the backends
   aided,        // what came of it
+  renewed,      // backends that told a registry of themselves
 };
 
 struct FrameHead {
@@ -67,9 +68,16 @@
   Edition edition;
   std::uint64_t roster_life = 0, roster_mark = 0;  // what the broker holds of this registry's roster
   bool wants_body = false;
+  bool wants_roster = false;     // this registry feeds it: roster and seats come from here
   std::string region;
   bool is_ready = false;
   std::uint64_t seats_mark = 0;  // of the seats it knows
+  // Of a pooler:
+  std::uint64_t token = 0;       // names the moment of asking; holds count from there
+  std::uint64_t leads_mark = 0;  // the table of leads it acts by; 0 of a broker
+  std::string locality;          // empty of a broker
+  std::string failing, fine;     // a bit for each lead of that table: nothing but breakdowns of late; heard of late
+  std::string samples;           // places in logs, see state/samples.h
 };
 
 // A broker as others may ask it for aid.
@@ -83,12 +91,20 @@
   Edition in_force;           // every broker heard of late holds it, or the wait for that is over
   bool is_confirmed = false;  // a quorum stands behind it
   bool is_filled = false;     // its roster was refilled since it started
+  bool is_leader = false;
+  std::string locality, region;  // of the registry
   std::uint64_t brokers = 0;  // brokers heard of late
   std::uint64_t grant = 0;    // thousandths of a further try, from the leader alone
   std::uint64_t grant_valid = 0;  // milliseconds; 0: no word of a grant
   std::vector<std::string> registries;  // inner addresses of the core
   std::uint64_t seats_mark = 0;         // of the ready brokers
   std::vector<BrokerSeat> seats;        // they themselves, unless the broker knows this mark already
+  // To a pooler:
+  std::uint64_t token = 0;       // of the follow answered last
+  std::uint64_t hold = 0;        // milliseconds from that follow's leaving; 0: none granted
+  std::uint64_t leads_mark = 0;
+  std::string leads;             // the table, unless the pooler has this mark
+  std::string samples;
 };
 
 struct Body {
@@ -108,12 +124,25 @@
   Status status = Status::starting;
   std::uint64_t stamp = 0;  // of status and hold; the greater wins
   std::uint64_t warm_left = 0, hold_left = 0;  // milliseconds
+  bool is_leader = false;                      // of a database, as it sees itself
+  std::uint64_t call_count = 0;                // of its own calls
+};
+
+// Holds renewed at the sender since its last such frame.
+struct RenewedIds {
+  struct Item {
+    std::string id;
+    std::uint64_t call_count = 0, age = 0;  // age in milliseconds
+  };
+  std::vector<Item> items;
 };
 
 struct Roster {
   bool is_whole = false;      // everything, not only what changed since `base`
   bool is_observed = false;   // the sender lists the platform itself at present
   bool is_filled = false;
+  bool wants_whole = false;   // the sender missed something of the receiver's
+  std::string locality;       // of the sender
   std::uint64_t base = 0, mark = 0;
   std::vector<RosterEntry> entries;
 };
@@ -166,6 +195,7 @@
 std::string encode(const FrameHead& head, const Traced& value);
 std::string encode(const FrameHead& head, const Aid& value);
 std::string encode(const FrameHead& head, const Aided& value);
+std::string encode(const FrameHead& head, const RenewedIds& value);
 std::string encode_trace(const FrameHead& head);
 
 // The head alone; false for a foreign or damaged frame.
@@ -180,5 +210,6 @@
 bool decode(ByteReader& reader, Traced& value);
 bool decode(ByteReader& reader, Aid& value);
 bool decode(ByteReader& reader, Aided& value);
+bool decode(ByteReader& reader, RenewedIds& value);
 
 }  // namespace saddlewing
--- a/src/state/bytes.h
+++ b/src/state/bytes.h
@@ -79,6 +79,9 @@
   writer.number(entry.term.value).number(entry.index.value).number(entry.edition.value).text(entry.body);
   writer.number(entry.core_size);
   write_members(writer, entry.members);
+  if (entry.sheets.empty()) return;  // as records of earlier versions end
+  writer.number(entry.sheets.size());
+  for (const auto& [name, text] : entry.sheets) writer.text(name).text(text);
 }
 
 inline void read_entry(ByteReader& reader, Entry& entry) {
@@ -88,6 +91,11 @@
   entry.body = reader.text();
   entry.core_size = static_cast<std::uint32_t>(reader.number());
   read_members(reader, entry.members);
+  if (reader.is_whole()) return;
+  for (std::uint64_t left = reader.count(16); left > 0; --left) {
+    std::string name = reader.text();
+    entry.sheets[std::move(name)] = reader.text();
+  }
 }
 
 }  // namespace saddlewing
--- a/src/state/configuration.cpp
+++ b/src/state/configuration.cpp
@@ -111,8 +111,14 @@
   if (rule.path_start.size() < 1 || rule.path_start.front() != '/' || rule.path_start.back() != '/')
     fields.fail("path_start does not start and end with a slash");
   const std::string sort = fields.text("sort");
-  if (sort != "harmless" && sort != "risky") fields.fail("sort is neither harmless nor risky");
   rule.is_harmless = sort == "harmless";
+  if (sort == "leader") rule.sight = Sight::leader;
+  else if (sort == "bounded") rule.sight = Sight::bounded;
+  else if (sort == "own_writes") rule.sight = Sight::own_writes;
+  else if (sort != "harmless" && sort != "risky") fields.fail("sort is none of harmless, risky, leader, bounded, own_writes");
+  if (rule.sight == Sight::bounded || value.isMember("read_age_ms"))
+    rule.read_age = Span(fields.whole("read_age_ms", 1, 86400000, 1, true));
+  if (rule.sight != Sight::none && !value.isMember("service")) fields.fail("a database needs one service");
   rule.give_up = Span(fields.whole("give_up_ms", 1, 86400000, 1, true));
   rule.target = Span(fields.whole("target_ms", 1, 86400000, rule.give_up.count(), false));
   rule.rank = static_cast<int>(fields.whole("rank", 0, 1000, 0, false));
@@ -134,6 +140,14 @@
   return nullptr;
 }
 
+const Rule* Configuration::match_database(const std::string& name) const {
+  const auto found = by_host.find(lower(name));
+  if (found == by_host.end()) return nullptr;
+  for (const std::uint32_t index : found->second)
+    if (rules[index].sight != Sight::none) return &rules[index];
+  return nullptr;
+}
+
 Fault read_configuration(const std::string& body, ConfigurationCapture& capture) {
   Json::Value root;
   std::string reason, first;
@@ -150,7 +164,8 @@
     const Fields fields{value, "services[" + std::to_string(read->services.size()) + "].", first};
     if (!value.isObject()) return fault(Kind::invalid, fields.place + " is not an object");
     Service service{fields.text("name"), fields.text("health_path", false),
-                    static_cast<int>(fields.whole("most_connections", 1, 1000000, 64, false))};
+                    static_cast<int>(fields.whole("most_connections", 1, 1000000, 64, false)),
+                    static_cast<int>(fields.whole("sync", 0, 1000, 0, false))};
     if (service.health_path.empty()) service.health_path = "/";
     if (service.health_path.front() != '/' || service.health_path.find_first_of(" \r\n\t") != std::string::npos)
       fields.fail("health_path is not a path");
@@ -177,6 +192,7 @@
       limits.most_header_bytes = fields.whole("most_header_bytes", 256, 1 << 24, limits.most_header_bytes, false);
       limits.most_body_bytes = fields.whole("most_body_bytes", 0, 1 << 28, limits.most_body_bytes, false);
       limits.header_wait = Span(fields.whole("header_wait_ms", 1, 86400000, limits.header_wait.count(), false));
+      limits.change_rest = Span(fields.whole("change_rest_ms", 1, 86400000, limits.change_rest.count(), false));
       limits.quiet = Span(fields.whole("quiet_ms", 1, 86400000, limits.quiet.count(), false));
     }
   }
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -15,6 +15,7 @@
 struct Service {
   std::string name, health_path;
   int most_connections = 1;
+  int sync = 0;  // of a database: how many copies have a commit before it is answered
 };
 
 struct Share {
@@ -23,9 +24,14 @@
 };
 
 // Invariant: exactly one of `shares` and `shards` is filled; a plain `service` is one share.
+// How a database's sessions read; `none` for requests.
+enum class Sight { none, leader, bounded, own_writes };
+
 struct Rule {
   std::string name, host, path_start;
   bool is_harmless = false;
+  Sight sight = Sight::none;
+  Span read_age{0};  // of bounded reads
   Span give_up{0}, target{0};
   int rank = 0, tries = 1;
   std::vector<Share> shares;
@@ -38,6 +44,7 @@
 struct Limits {
   std::size_t most_header_bytes = 16384, most_body_bytes = 262144;
   Span header_wait{3000}, quiet{15000};
+  Span change_rest{3000};  // how long a transaction may rest
 };
 
 // Invariant: rules of a host are ordered by falling length of their prefix; every index is within `services`.
@@ -49,6 +56,8 @@
   Limits limits;
   std::string body;  // byte for byte as the operator sent it
 
+  // Of a database, by its name alone.
+  const Rule* match_database(const std::string& name) const;
   const Rule* match(std::string_view host, std::string_view path) const;
 };
 using ConfigurationCapture = std::shared_ptr<const Configuration>;
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -10,6 +10,8 @@
 enum class Metric {
   // broker
   requests, answers_own_5xx, refusals, answers_partial, askings, further_askings, breakdowns, aids, visits, errands, ready,
+  // pooler
+  lanes, lanes_opened, waiting, statements, unknown_outcomes,
   // registry
   brokers, backends_up, evictions, saves_failed, leads, calls_taken, calls_failed,
   // both
--- a/src/state/startup.cpp
+++ b/src/state/startup.cpp
@@ -155,7 +155,16 @@
     const int first = (*ports)[0].asInt(), last = (*ports)[1].asInt();
     if (first < 1 || last > 65535 || first > last) reader.fail("spare_ports is out of range");
     read.inner_port = first;
+    read.own_port = is_registry ? first : first + (last > first);
   }
+  std::string finding;
+  reader.text("finding", finding, false);
+  read.is_signing_up = finding == "sign_up";
+  reader.span("beat_every_ms", read.beat_every);
+  double can_lose = 1;
+  reader.number("can_lose.machines", can_lose, 0, 1000);
+  read.can_lose = static_cast<int>(can_lose);
+  reader.number("provider_api.chore_rate_s", read.duty_rate, 0.01, 1e6);
   double memory_mb = 256, handles = 1024, tries = 0;
   reader.number("limits.memory_mb", memory_mb, 32, 1 << 20);
   reader.number("limits.file_handles", handles, 256, 1 << 20);
@@ -184,10 +193,12 @@
   reader.span("options.follow_ms", read.follow);
   reader.text("options.alert_rules", read.alert_rules, false);
   reader.span("options.rollout_wait_ms", read.rollout_wait);
+  reader.span("options.lead_hold_ms", read.lead_hold);
   reader.span("options.unconfirmed_wait_ms", read.unconfirmed_wait);
   if (read.election < read.beat * 3) reader.fail("options.election_ms is under three times options.beat_ms");
   if (read.rollout_wait * 3 > read.take_effect) reader.fail("options.rollout_wait_ms is over a third of time_bounds.take_effect_ms");
   if (read.listing * 3 + read.follow > read.empty_out) reader.fail("options.listing_ms is too long for time_bounds.empty_out_ms");
+  if (read.lead_hold < read.follow * 3) reader.fail("options.lead_hold_ms is under three times options.follow_ms");
   if (read.hold < read.renewal * 2) reader.fail("options.hold_ms is under twice options.renewal_ms");
   if (!reader.first().empty()) return fault(Kind::invalid, reader.first());
   startup = std::move(read);
--- a/src/state/startup.h
+++ b/src/state/startup.h
@@ -28,7 +28,12 @@
   std::vector<Address> contacts;                  // steering addresses of some registries
   std::map<std::string, std::string> localities;  // locality to region
   Address front, ready_check, control, platform;  // port 0: not told
-  int inner_port = 0;                             // for frames between nodes; alike on every machine
+  int inner_port = 0;                             // of registries, for frames between nodes; alike on every machine
+  int own_port = 0;                               // of this process: a pooler may share its machine with a registry
+  bool is_signing_up = false;                     // backends tell the registries of themselves; else the platform lists them
+  Span beat_every{1200};                          // of a backend that tells of itself
+  int can_lose = 1;                               // core machines at once
+  double duty_rate = 10;                          // calls of duty the platform takes a second
   bool is_first_run = false;
   double platform_rate = 10;
   std::size_t memory_bytes = 256u << 20;
@@ -44,6 +49,7 @@
   Span listing{500}, follow{400};       // platform list; broker's beat to the registries
   Span rollout_wait{400};               // a new edition waits this long for brokers that do not hold it yet
   std::string alert_rules;              // path of a file; empty: none
+  Span lead_hold{4000};                 // how long a pooler may use the leads it was told of
   Span unconfirmed_wait{2000};          // then a broker serves by what any registry holds committed
 };
 
--- a/src/state/store.h
+++ b/src/state/store.h
@@ -2,6 +2,7 @@
 // What a registry must not lose, on LMDB.
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -24,7 +25,8 @@
   Edition edition;
   std::string body;
   std::vector<Member> members;
-  std::uint32_t core_size = 0;  // how many voters the core was founded with
+  std::uint32_t core_size = 0;  // how many voters the core wants
+  std::map<std::string, std::string> sheets;  // further agreed tables by name: leads of databases, the ring
 };
 using EntryCapture = std::shared_ptr<const Entry>;
 
--- /dev/null
+++ b/src/transport/wire_link.h
@@ -0,0 +1,48 @@
+#pragma once
+// One connection that carries the session wire: bytes out, whole messages in.
+#include <functional>
+#include <string>
+
+#include "protocol/session_wire.h"
+#include "transport/channel.h"
+
+namespace saddlewing {
+
+// Its way: Connecting -> Open -> Ended. Invariant: after Ended nothing is told any more.
+class WireLink final : public Watcher {
+ public:
+  struct Owner {
+    std::function<bool(WireMessage&&)> on_message;  // false: no more for now; `resume` goes on
+    std::function<void(WireStep)> on_end;           // more: the peer ended it; else what could not be read
+  };
+  WireLink(Poller& poller, Owner owner) : poller_(poller), owner_(std::move(owner)) {}
+  ~WireLink() override { close(); }
+  bool connect(const Address& address);
+  void admit(Channel channel);
+
+  bool send(std::string_view bytes);  // false: the connection is gone
+  void close();
+  void finish();                      // closes once what was said has left
+  void resume();
+  bool is_ended() const { return state_ == State::ended; }
+  bool has_room() const { return out_.size() - sent_ < most_unsent; }
+  void on_ready(bool is_readable, bool is_writable) override;
+
+ private:
+  enum class State { connecting, open, ended };
+  void read();
+  void flush();
+  void tell();
+  void end(WireStep step);
+  static constexpr std::size_t most_unsent = 8u << 20, most_ahead = longest_message + 65536;
+
+  Poller& poller_;
+  Owner owner_;
+  Channel channel_;
+  State state_ = State::ended;
+  std::string in_, out_;
+  std::size_t sent_ = 0;
+  bool is_finishing_ = false, is_telling_ = false, is_full_ = false, is_held_ = false;
+};
+
+}  // namespace saddlewing
