--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -9,7 +9,7 @@
 
 constexpr Span fresh_evidence{1800};    // what a pooler said longer ago is not counted
 constexpr Span most_catching_up{1500};  // a planned change waits this long for a copy that has everything
-constexpr Span raise_again{400};
+constexpr Span raise_again{400}, raise_taken{2500};  // after no answer; after the platform took it
 constexpr Span dead_target{2500};
 constexpr Span step_down_again{700};
 
@@ -248,7 +248,7 @@
   }
   if (now < at.step_due) return;
   at.step_due = now + options_.ask_again;
-  if (!at.was_raised || now - at.raised >= raise_again) {
+  if (!at.was_raised || now - at.raised >= (at.is_taken ? raise_taken : raise_again)) {
     at.was_raised = true;
     at.raised = now;
     pending_[++last_token_] = {lead.service, lead.target, false};
@@ -273,6 +273,7 @@
   if (found == pending_.end()) return;
   Case& at = cases_[found->second.service];
   if (status == 409) at.is_refused = true;
+  at.is_taken = status == 200;
   pending_.erase(found);
 }
 
--- a/src/coordination/failover.h
+++ b/src/coordination/failover.h
@@ -75,7 +75,7 @@
     Moment since{}, step_due{}, raised{};
     std::map<std::string, DatabaseStatus> statuses;
     std::set<std::string> asked;
-    bool was_raised = false, is_refused = false;
+    bool was_raised = false, is_refused = false, is_taken = false;
     std::uint64_t number = 0;  // of the lead it belongs to
     Lead::Phase phase{};
     std::uint64_t term_before = 0;
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "state/metrics.h"
+#include "state/packing.h"
 
 namespace saddlewing {
 namespace {
@@ -271,6 +272,7 @@
     return;
   }
   configuration_ = std::move(capture);
+  packed_ = pack(noted_->body);
   std::set<std::string> services;
   for (const Service& service : configuration_->services) services.insert(service.name);
   registry_.name_services(std::move(services));
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -117,6 +117,7 @@
   std::map<std::string, Peer> peers_;      // by inner address
   EntryCapture noted_;                     // the committed entry that was made known
   ConfigurationCapture configuration_;
+  std::string packed_;                     // its body, as brokers get it
   Rollout rollout_;
   Grants grants_;
   bool is_observing_ = false, was_leader_ = false;
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -132,9 +132,8 @@
   Beat beat;
   if (!follow.locality.empty()) take_pooler(from, follow, broker, beat, now);
   send_beat(broker, true, now, std::move(beat));
-  const EntryCapture& committed = agreement_.committed();
-  if (follow.wants_body && committed && committed->edition > follow.edition)
-    hub_.send(route, encode(head(), Body{committed->edition, committed->body}));
+  if (follow.wants_body && configuration_ && configuration_->edition > follow.edition)
+    hub_.send(route, encode(head(), Body{configuration_->edition, packed_}));
   if (follow.wants_roster && broker.sent_mark == 0 && registry_.mark() == 0) hub_.send(route, encode(head(), registry_.since(0, now)));
 }
 
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -3,11 +3,16 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <tuple>
+
+#include "state/packing.h"
 
 namespace saddlewing {
 namespace {
 
-constexpr Span fetch_again{300};  // a body that did not come is asked for elsewhere
+constexpr Span fetch_again{600}, longest_fetch{2400};  // a body that did not come is asked for again, elsewhere
+constexpr Span feed_grace{120};       // for the nearest registry to hold what a farther one tells of
+constexpr std::size_t longest_body = 4 << 20;
 constexpr Span eager_follow{50};  // until it is ready
 constexpr std::size_t most_steps = 64, most_aides = 4;  // most_aides: of one region
 constexpr std::size_t seldom = 4;         // of how many turns one reaches registries that neither lead nor feed
@@ -61,7 +66,8 @@
     handles.assign({hub_.handle()});
     for (const auto& [address, source] : sources_) handles.push_back(source.spoke->handle());
     for (const auto& [address, spoke] : aides_) handles.push_back(spoke->handle());
-    const Moment due = turnover_.is_turning() ? std::min(follow_due_, turnover_.due()) : follow_due_;
+    Moment due = turnover_.is_turning() ? std::min(follow_due_, turnover_.due()) : follow_due_;
+    if (fetched_ > turnover_.held()) due = std::min(due, fetch_due_);
     wait_links(handles, waker_, std::clamp(std::chrono::ceil<Span>(due - Clock::now()), Span(0), Span(1000)));
     now = Clock::now();
     for (auto& [address, source] : sources_)
@@ -228,23 +234,40 @@
   });
 }
 
-// Asks the registry heard last that holds the newest edition for its body.
+// Asks a registry that holds the newest edition for its body: the feed, if it has it soon, else the one heard last.
 void Follower::fetch(Moment now) {
-  if (now < fetch_due_) return;
   Source* best = nullptr;
+  bool has_feed = false;
   const Edition held = turnover_.held();
-  for (auto& [address, source] : sources_)
-    if (source.edition > held && (!best || source.edition > best->edition || (source.edition == best->edition && source.heard > best->heard)))
-      best = &source;
-  if (!best) return;
-  fetch_due_ = now + fetch_again;
+  for (auto& [address, source] : sources_) {
+    has_feed = has_feed || (source.is_feed && is_ready_);
+    if (source.edition <= held) continue;
+    const auto rank = [](const Source& one) { return std::tuple(one.edition, one.is_feed, one.heard); };
+    if (!best || rank(source) > rank(*best)) best = &source;
+  }
+  if (!best || now < fetch_due_) return;
+  if (fetched_ != best->edition) {
+    fetched_ = best->edition;
+    fetch_pause_ = fetch_again;
+    if (has_feed && !best->is_feed) {
+      fetch_due_ = now + feed_grace;
+      return;
+    }
+  }
+  fetch_due_ = now + fetch_pause_;
+  fetch_pause_ = std::min(fetch_pause_ * 2, longest_fetch);  // over a narrow link a body takes its time
   follow_one(*best, true);
 }
 
 void Follower::take_body(Body body, Moment now) {
   if (body.edition <= turnover_.held()) return;  // never back within a life
   ConfigurationCapture capture;
-  if (Fault found = read_configuration(body.body, capture)) {
+  std::string text;
+  if (!unpack(body.body, longest_body, text)) {
+    LOG(ERROR) << "follow: configuration damaged on its way";
+    return;
+  }
+  if (Fault found = read_configuration(text, capture)) {
     LOG(ERROR) << "follow: configuration unreadable: " << found.text();
     return;
   }
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -130,6 +130,8 @@
   RosterBook book_;
   Turnover turnover_;
   Moment born_, follow_due_{}, fetch_due_{};
+  Edition fetched_;       // last asked for, or waited for at the feed
+  Span fetch_pause_{0};
   bool is_ready_ = false, has_news_ = false;
   std::uint64_t brokers_ = 1;
   Reserve reserve_;
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -109,7 +109,7 @@
 
 struct Body {
   Edition edition;
-  std::string body;
+  std::string body;  // packed
 };
 
 enum class Phase : std::uint64_t { ready, emptying, gone };
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -138,7 +138,7 @@
       {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":100,"service":"u"})"), "routes[0].service names an unknown service"},
       {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":0,"service":"s"})"), "routes[0].give_up_ms is out of range"},
       {configuration(R"({"host":"h","path_start":"a/","sort":"harmless","give_up_ms":9,"service":"s"})"), "routes[0].path_start does not start and end with a slash"},
-      {configuration(R"({"host":"h","path_start":"/a/","sort":"odd","give_up_ms":9,"service":"s"})"), "routes[0].sort is neither harmless nor risky"},
+      {configuration(R"({"host":"h","path_start":"/a/","sort":"odd","give_up_ms":9,"service":"s"})"), "routes[0].sort is none of harmless, risky, leader, bounded, own_writes"},
       {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":9})"), "routes[0].needs exactly one of service, shares, ask_all"},
       {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":9,"service":"s","ask_all":["s"]})"), "routes[0].needs exactly one of service, shares, ask_all"},
       {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":9,"shares":[{"service":"s","weight":0}]})"), "routes[0].shares has weights that sum to 0"},
