--- a/src/coordination/samples.h
+++ b/src/coordination/samples.h
@@ -45,7 +45,8 @@
     }
     return writer.take();
   }
-  bool take(const std::string& bytes, Moment now) {
+  // `built`: a moment not after the one at which the ages were counted.
+  bool take(const std::string& bytes, Moment built) {
     ByteReader reader(bytes);
     while (reader.is_good() && !reader.is_whole()) {
       const std::string service = reader.text();
@@ -54,14 +55,14 @@
       place.term = reader.number();
       place.number = reader.number();
       const std::uint64_t age = reader.number();
-      if (reader.is_good() && age < 60000) note(service, number, place, now - Span(static_cast<std::int64_t>(age) + 1));
+      if (reader.is_good() && age < 60000) note(service, number, place, built - Span(static_cast<std::int64_t>(age) + 1));
     }
     return reader.is_good();
   }
 
  private:
-  static constexpr std::size_t most = 12;
-  static constexpr Span least_step{120};
+  static constexpr std::size_t most = 16;
+  static constexpr Span least_step{100};
   struct Sample {
     LogPlace place;
     Moment asked;
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -277,7 +277,7 @@
   for (const Service& service : configuration_->services) services.insert(service.name);
   registry_.name_services(std::move(services));
   ordered_mark_ = ~0ull;
-  for (const auto& [from, broker] : brokers_) send_beat(broker, false, now);
+  for (auto& [from, broker] : brokers_) send_beat(broker, false, now);
   if (!brokers_.empty()) steps_.note(noted_->edition, "sent", now);
 }
 
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -9,6 +9,7 @@
 #include "coordination/grants.h"
 #include "coordination/registry.h"
 #include "coordination/rollout.h"
+#include "coordination/samples.h"
 #include "programs/desk.h"
 #include "programs/envoy.h"
 #include "programs/lookout.h"
@@ -57,6 +58,7 @@
     std::uint64_t sent_mark = 0;
     bool wants_roster = false, is_pooler = false;
     std::uint64_t token = 0, leads_mark = 0;  // of its last follow
+    std::map<std::uint64_t, Moment> beats;    // when the last few left, by serial
     Moment heard;
   };
   struct Peer {
@@ -81,7 +83,7 @@
   void tend_registry(Moment now);
   void tend_brokers(Moment now);
   void tend_rollout(Moment now);
-  void send_beat(const Broker& broker, bool is_granting, Moment now, Beat beat = {});
+  void send_beat(Broker& broker, bool is_granting, Moment now, Beat beat = {});
   void take_backend(BackendCall& call, Moment now);
   void tend_databases(Moment now);
   void take_pooler(const FrameHead& from, const Follow& follow, Broker& broker, Beat& beat, Moment now);
@@ -108,6 +110,8 @@
   LeadTable leads_;         // as committed
   std::string leads_text_;  // the same, as it travels
   EntryCapture leads_seen_;
+  Samples samples_;         // of the poolers fed here
+  std::uint64_t last_beat_ = 0;
   Term led_term_;           // the last term the failover knew of
   Moment renewed_due_{};
 
--- a/src/programs/core_databases.cpp
+++ b/src/programs/core_databases.cpp
@@ -89,6 +89,10 @@
 void Core::take_pooler(const FrameHead& from, const Follow& follow, Broker& broker, Beat& beat, Moment now) {
   broker.is_pooler = true;
   failover_.note_pooler(from.from, from.life, follow.leads_mark, follow.locality, follow.failing, follow.fine, now);
+  // The follow was built that long after our beat came there, so not before that long after it left.
+  if (const auto sent = broker.beats.find(follow.echo); sent != broker.beats.end() && !follow.samples.empty())
+    samples_.take(follow.samples, sent->second + Span(static_cast<std::int64_t>(std::min<std::uint64_t>(follow.gap, 60000))) -
+                                      Span(static_cast<std::int64_t>(std::min<std::uint64_t>(follow.samples_age, 60000))));
   beat.token = follow.token;
   broker.token = follow.token;
   if (agreement_.is_leased(now) && !should_leave_)
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Span whole_every{5000};  // anti-entropy between registries
+constexpr Span oldest_sample{1400};
 constexpr Span broker_silence{4000};  // then a broker no longer counts
 
 }  // namespace
@@ -89,7 +90,7 @@
   }
 }
 
-void Core::send_beat(const Broker& to, bool is_granting, Moment now, Beat beat) {
+void Core::send_beat(Broker& to, bool is_granting, Moment now, Beat beat) {
   beat.is_leader = agreement_.is_leader();
   beat.locality = startup_.locality;
   beat.region = startup_.region;
@@ -112,6 +113,11 @@
   if (beat.seats_mark == to.seats_mark) beat.seats.clear();
   beat.leads_mark = leads_.mark;
   if (to.is_pooler && to.leads_mark < leads_.mark) beat.leads = leads_text_;
+  if (to.is_pooler && to.wants_roster) {
+    beat.samples = samples_.tell(now, oldest_sample);
+    to.beats[beat.serial = ++last_beat_] = now;
+    while (to.beats.size() > 8) to.beats.erase(to.beats.begin());
+  }
   hub_.send(to.route, encode(head(), beat));
 }
 
@@ -152,7 +158,7 @@
   const Rollout::Turn turn = rollout_.advance(held, now);
   if (turn == Rollout::Turn::none) return;
   steps_.note(rollout_.in_force(), turn == Rollout::Turn::held_by_all ? "held by all" : "waited enough", now);
-  for (const auto& [from, broker] : brokers_) send_beat(broker, false, now);
+  for (auto& [from, broker] : brokers_) send_beat(broker, false, now);
 }
 
 void Core::take_trace(const std::string& route, Moment now) {
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -12,6 +12,7 @@
 
 constexpr Span fetch_again{600}, longest_fetch{2400};  // a body that did not come is asked for again, elsewhere
 constexpr Span feed_grace{120};       // for the nearest registry to hold what a farther one tells of
+constexpr Span oldest_sample{1500};
 constexpr std::size_t longest_body = 4 << 20;
 constexpr Span eager_follow{50};  // until it is ready
 constexpr std::size_t most_steps = 64, most_aides = 4;  // most_aides: of one region
@@ -87,11 +88,17 @@
 
 void Follower::follow_one(Source& source, bool wants_body) {
   Follow follow{turnover_.held(), source.life, source.mark, wants_body, source.is_feed, startup_.region, is_ready_ && !is_leaving_, seats_mark_,
-                token_, confirmed_mark_, hold_ ? startup_.locality : std::string(), {}, {}, {}};
+                token_, confirmed_mark_, hold_ ? startup_.locality : std::string(), {}, {}, {}, 0, 0, 0};
   if (hold_ && (source.is_leader || source.is_feed)) {
     follow.failing = seen_.failing;
     follow.fine = seen_.fine;
-    follow.samples = seen_.samples;
+    if (source.is_feed && source.serial && Clock::now() - seen_.built < oldest_sample) {
+      const Moment now = Clock::now();
+      follow.samples = seen_.samples;
+      follow.samples_age = static_cast<std::uint64_t>(std::chrono::ceil<Span>(now - seen_.built).count());
+      follow.echo = source.serial;
+      follow.gap = static_cast<std::uint64_t>(span_between(source.beaten, now).count());
+    }
     if (seen_.mark != follow.leads_mark) follow.failing.clear(), follow.fine.clear();
   }
   source.spoke->send(encode({FrameKind::follow, life_, address_}, follow));
@@ -166,14 +173,14 @@
   }
 }
 
-void Follower::take_beat(Source& source, const Beat& beat, Moment now) {
+void Follower::take_beat(Source& source, Beat& beat, Moment now) {
   source.edition = beat.edition;
   source.is_leader = beat.is_leader;
   source.locality = beat.locality;
   source.region = beat.region;
   // The leader alone hears of every broker often.
   if (beat.is_leader) turnover_.see_in_force(beat.in_force);
-  if (hold_) take_hold(beat, now);
+  if (hold_) take_hold(source, beat, now);
   if (!is_ready_) choose_feed(now);
   if (beat.grant_valid) {  // its span runs from the leader's sending, which is after our follow
     reserve_.take(static_cast<double>(beat.grant) / 1000, Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.grant_valid, 60000))), followed_);
@@ -197,7 +204,9 @@
 }
 
 // Invariant: a hold counts from the moment of asking, and a table is handed on before a hold that covers it.
-void Follower::take_hold(const Beat& beat, Moment) {
+void Follower::take_hold(Source& source, Beat& beat, Moment now) {
+  source.serial = beat.serial;
+  source.beaten = now;
   HoldNews news;
   if (!beat.leads.empty() && beat.leads_mark > leads_mark_) {
     auto table = std::make_shared<LeadTable>();
@@ -211,7 +220,8 @@
     hold_until_ = std::max(hold_until_, asked->second + Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.hold, 60000))));
   news.until = hold_until_;
   if (news.leads || beat.hold) hold_(std::move(news));
-  if (!beat.samples.empty() && sample_) sample_(beat.samples);
+  // The beat answers that follow, so its ages were counted after it left.
+  if (!beat.samples.empty() && asked != asked_.end()) sample_({std::move(beat.samples), asked->second});
 }
 
 // Of each other region a few, spread by hash so that every broker is some others' choice.
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -39,7 +39,12 @@
 struct Evidence {
   std::uint64_t mark = 0;
   std::string failing, fine;
+  std::string samples;  // with ages as of `built`
+  Moment built{};
+};
+struct SampleNews {
   std::string samples;
+  Moment built{};       // not after the ages were counted
 };
 
 // Frames between brokers, handed over by the traffic thread.
@@ -70,7 +75,7 @@
   bool send(AidOut out) { return outs_.push(std::move(out)); }
   void set_leaving() { is_leaving_ = true; }
   // Of a pooler: who is told of leads and samples; the follower tells the registries what was done by then.
-  void set_pooler(std::function<void(HoldNews)> hold, std::function<void(std::string)> sample) {
+  void set_pooler(std::function<void(HoldNews)> hold, std::function<void(SampleNews)> sample) {
     hold_ = std::move(hold);
     sample_ = std::move(sample);
   }
@@ -92,18 +97,20 @@
     bool is_feed = false;              // asked for its roster
     std::string locality, region;
     Moment fed{};                      // when it became the feed
+    std::uint64_t serial = 0;          // of its last beat
+    Moment beaten{};                   // when that came
     Moment heard{};
   };
   void run();
   void reach(const std::string& address);
   void take(const std::string& address, const Parcel& parcel, Moment now);
-  void take_beat(Source& source, const Beat& beat, Moment now);
+  void take_beat(Source& source, Beat& beat, Moment now);
   void take_body(Body body, Moment now);
   void take_roster(Source& source, const FrameHead& head, const Roster& roster, Moment now);
   void follow_all(Moment now);
   void follow_one(Source& source, bool wants_body);
   void choose_feed(Moment now);
-  void take_hold(const Beat& beat, Moment now);
+  void take_hold(Source& source, Beat& beat, Moment now);
   void fetch(Moment now);
   void check_ready(Moment now);
   void turn(Moment now);
@@ -140,7 +147,7 @@
   std::size_t turn_ = 0;  // of following: those that neither lead nor feed are asked less often
 
   std::function<void(HoldNews)> hold_;
-  std::function<void(std::string)> sample_;
+  std::function<void(SampleNews)> sample_;
   Ring<Evidence> evidence_{16, {}};
   Evidence seen_;
   std::atomic<std::uint64_t> confirmed_mark_ = 0;
--- a/src/programs/pooling.cpp
+++ b/src/programs/pooling.cpp
@@ -10,14 +10,15 @@
 namespace saddlewing {
 namespace {
 
-constexpr Span busy_tick{100}, calm_tick{500};
+constexpr Span busy_tick{100}, calm_tick{250};
 constexpr Span still_chosen{2500};           // after SIGTERM the platform may go on sending for two missed checks
 constexpr Span before_end{700};              // of the grace, kept for the end itself
 constexpr Span most_greeting{700}, most_preparing{900};
 constexpr Span most_draining{400};           // of a lead given up in good order
 constexpr Span emptying_margin{1500};        // before an emptying backend must get nothing more
 constexpr Span first_lag_pause{50}, longest_lag_pause{800};
-constexpr Span heard_of_late{1500};
+constexpr Span heard_of_late{1500}, oldest_told{900};
+constexpr Span least_report{200};
 constexpr std::size_t most_waiting = 2048;
 
 void set_bit(std::string& bits, std::size_t place) {
@@ -63,7 +64,10 @@
              },
              [this](Backend& backend, const LogPlace& place, Moment asked) {
                const Lead* lead = leads_->find(backend.service);
-               if (lead && holds_lead(backend, Clock::now())) samples_.note(backend.service, lead->number, place, asked), has_news_ = true;
+               if (!lead || !holds_lead(backend, Clock::now())) return;
+               samples_.note(backend.service, lead->number, place, asked);
+               own_samples_.note(backend.service, lead->number, place, asked);
+               has_news_ = true;
              },
              [this](Backend& backend, bool is_fine) {
                const Moment now = Clock::now();
@@ -111,7 +115,7 @@
     const Moment now = Clock::now();
     auto views = views_.take();
     if (!views.empty()) take_view(std::move(views.back()), now);
-    for (const std::string& samples : samples_in_.take()) samples_.take(samples, now);
+    for (const SampleNews& news : samples_in_.take()) samples_.take(news.samples, news.built);
     for (HoldNews& news : holds_.take()) take_hold(std::move(news), now);
     schedule_.run(now);
     ready_server_.reap();
@@ -128,7 +132,7 @@
   if (pool_.is_restless()) pool_.check_late(most_greeting, most_preparing, now);
   end_draining(now);
   if (!waiting_.empty()) wake_waiting(now);
-  if (now - reported_ >= startup_.follow) report(now);
+  if (now - reported_ >= least_report) report(now);
   schedule_.set(tick_, now + (pool_.is_restless() || !waiting_.empty() || !draining_.empty() ? busy_tick : calm_tick));
 }
 
@@ -222,7 +226,8 @@
     if (fine != Moment{} && now - fine < heard_of_late && fine > failing) set_bit(evidence.fine, place);
     if (failing > fine && now - failing < heard_of_late) set_bit(evidence.failing, place);
   }
-  evidence.samples = samples_.tell(now, Span(1000));
+  evidence.samples = own_samples_.tell(now, oldest_told);
+  evidence.built = now;
   metrics().set(Metric::visits, static_cast<std::int64_t>(clients_.size()));
   metrics().set(Metric::lanes, static_cast<std::int64_t>(pool_.count()));
   metrics().set(Metric::waiting, static_cast<std::int64_t>(waiting_.size() + pool_.waiting()));
--- a/src/programs/pooling.h
+++ b/src/programs/pooling.h
@@ -23,7 +23,7 @@
   void set_follower(Follower& follower) { follower_ = &follower; }
   void show(ViewCapture view) { views_.push(std::move(view)); }
   void hold(HoldNews news) { holds_.push(std::move(news)); }
-  void sample(std::string samples) { samples_in_.push(std::move(samples)); }
+  void sample(SampleNews news) { samples_in_.push(std::move(news)); }
   void leave() {
     should_leave_ = true;
     poller_.wake();
@@ -111,7 +111,7 @@
   Follower* follower_ = nullptr;
   Ring<ViewCapture> views_;
   Ring<HoldNews> holds_;
-  Ring<std::string> samples_in_;
+  Ring<SampleNews> samples_in_;
   ViewCapture view_ = std::make_shared<View>();
   std::map<std::string, BackendPointer> backends_;                       // by id
   std::unordered_map<std::string, std::vector<BackendPointer>> by_service_;
@@ -123,7 +123,7 @@
   Moment hold_until_{};
   std::map<std::string, Moment> draining_;  // leads given up in good order, by id: until when their transactions may go on
   std::uint64_t confirmed_mark_ = 0;
-  Samples samples_;
+  Samples samples_, own_samples_;  // all that are known; those seen here, to be told
 
   Pool pool_;
   std::unordered_map<const Session*, Client*> by_session_;
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -109,6 +109,7 @@
   writer.number(value.edition.value).number(value.roster_life).number(value.roster_mark).number(value.wants_body).number(value.wants_roster);
   writer.text(value.region).number(value.is_ready).number(value.seats_mark);
   writer.number(value.token).number(value.leads_mark).text(value.locality).text(value.failing).text(value.fine).text(value.samples);
+  writer.number(value.samples_age).number(value.echo).number(value.gap);
   return writer.take();
 }
 
@@ -127,6 +128,9 @@
   value.failing = reader.text();
   value.fine = reader.text();
   value.samples = reader.text();
+  value.samples_age = reader.number();
+  value.echo = reader.number();
+  value.gap = reader.number();
   return reader.is_whole();
 }
 
@@ -138,7 +142,7 @@
   write_texts(writer, value.registries);
   writer.number(value.seats_mark).number(value.seats.size());
   for (const BrokerSeat& seat : value.seats) writer.text(seat.address).text(seat.region);
-  writer.number(value.token).number(value.hold).number(value.leads_mark).text(value.leads).text(value.samples);
+  writer.number(value.token).number(value.hold).number(value.leads_mark).text(value.leads).text(value.samples).number(value.serial);
   return writer.take();
 }
 
@@ -165,6 +169,7 @@
   value.leads_mark = reader.number();
   value.leads = reader.text();
   value.samples = reader.text();
+  value.serial = reader.number();
   return reader.is_whole();
 }
 
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -77,7 +77,9 @@
   std::uint64_t leads_mark = 0;  // the table of leads it acts by; 0 of a broker
   std::string locality;          // empty of a broker
   std::string failing, fine;     // a bit for each lead of that table: nothing but breakdowns of late; heard of late
-  std::string samples;           // places in logs, see state/samples.h
+  std::string samples;           // places in logs, see coordination/samples.h
+  std::uint64_t samples_age = 0; // milliseconds since they were gathered
+  std::uint64_t echo = 0, gap = 0;  // the last beat heard of this registry, and milliseconds since
 };
 
 // A broker as others may ask it for aid.
@@ -104,7 +106,8 @@
   std::uint64_t hold = 0;        // milliseconds from that follow's leaving; 0: none granted
   std::uint64_t leads_mark = 0;
   std::string leads;             // the table, unless the pooler has this mark
-  std::string samples;
+  std::string samples;           // with ages as of this beat's leaving
+  std::uint64_t serial = 0;      // of this beat, for the echo
 };
 
 struct Body {
