--- a/src/coordination/errand.cpp
+++ b/src/coordination/errand.cpp
@@ -32,7 +32,7 @@
       if (share.weight > 0) chosen = share.service;
       if ((left -= share.weight) < 0) break;
     }
-    parts_.emplace_back().service = chosen;
+    parts_.emplace_back().service = chosen_.value_or(chosen);
   }
   for (const Part& part : parts_) ground_.budget(table_->configuration->services[part.service.value].name).count_request(now);
   // A shard without any backend decides the outcome before anything runs.
--- a/src/coordination/errand.h
+++ b/src/coordination/errand.h
@@ -4,6 +4,7 @@
 //   Matching -> Asking -> Gathering -> Answering -> Closed
 //                 \-> Holding (every connection allowed is in use) -> Asking
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,7 @@
   Moment next_due() const override { return due_; }
   Moment cutoff() const override { return cutoff_; }
   const Rule& rule() const { return rule_; }
+  void choose(ServiceIndex service) { chosen_ = service; }  // before its start: instead of a draw among the shares
   bool is_gathering() const override { return !rule_.shards.empty(); }
   const Table& table() const { return *table_; }
 
@@ -91,6 +93,7 @@
 
   Ground& ground_;
   const TableCapture table_;
+  std::optional<ServiceIndex> chosen_;
   const Rule& rule_;  // within table_'s configuration
   const Moment began_, cutoff_, prompt_;  // prompt_: from here on parts may be left out
   Moment due_;
--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -26,37 +26,24 @@
 
 void Failover::note_pooler(const std::string& from, LifeId life, std::uint64_t mark, const std::string& locality, const std::string& failing,
                            const std::string& fine, Moment now) {
-  Holder& holder = holders_[from];
-  if (holder.life != life) holder = {life, 0, {}, {}, {}, {}, {}};  // the life before is over, and its holds with it
-  holder.mark = std::max(holder.mark, mark);
-  holder.told = now;
-  holder.locality = locality;
-  holder.failing = failing;
-  holder.fine = fine;
+  holders_.note(from, life, mark, now);
+  witnesses_[from] = {mark, now, locality, failing, fine};
 }
 
 std::optional<Span> Failover::grant(const std::string& from, LifeId life, Moment now) {
-  const auto found = holders_.find(from);
-  if (!is_leading_ || found == holders_.end() || found->second.life != life) return std::nullopt;
-  found->second.until = now + options_.hold;
-  return options_.hold;
-}
-
-// Whether somebody may still act by a table older than `mark`.
-bool Failover::is_held(std::uint64_t mark, Moment now) const {
-  if (now - led_since_ < options_.settle) return true;
-  return std::any_of(holders_.begin(), holders_.end(), [&](const auto& item) { return item.second.mark < mark && item.second.until >= now; });
+  if (!is_leading_) return std::nullopt;
+  return holders_.grant(from, life, now);
 }
 
 bool Failover::is_given_up(std::size_t place, Moment now, bool& is_unseen) const {
   std::size_t failing = 0, fine = 0;
   std::set<std::string> localities;
-  for (const auto& [from, holder] : holders_) {
-    if (holder.mark != table_.mark || now - holder.told > fresh_evidence) continue;
-    fine += has_bit(holder.fine, place);
-    if (!has_bit(holder.failing, place)) continue;
+  for (const auto& [from, witness] : witnesses_) {
+    if (witness.mark != table_.mark || now - witness.told > fresh_evidence) continue;
+    fine += has_bit(witness.fine, place);
+    if (!has_bit(witness.failing, place)) continue;
     ++failing;
-    localities.insert(holder.locality);
+    localities.insert(witness.locality);
   }
   is_unseen = failing == 0 && fine == 0;
   return localities.size() >= 2 && failing > fine;
@@ -82,13 +69,15 @@
     led_since_ = now;
     cases_.clear();
     pending_.clear();
-    holders_.clear();
+    holders_.reset(now);
+    witnesses_.clear();
     stepped_.clear();
     is_proposing_ = false;
   }
   is_leading_ = is_leading;
   if (!is_leading) return;
-  std::erase_if(holders_, [&](const auto& item) { return item.second.until < now && now - item.second.told > options_.hold * 4; });
+  holders_.forget(now);
+  std::erase_if(witnesses_, [&](const auto& item) { return now - item.second.told > options_.hold; });
   table_ = table;
   if (is_proposing_) return;
   next_.reset();
@@ -173,7 +162,7 @@
 // Nobody may use the old leader any more. Once no pooler can, the logs are compared: what was acknowledged by then does
 // not change any more, so no copy needs to be paused for it.
 void Failover::close(const Lead& lead, int sync, const Seats& seats, Moment now) {
-  if (is_held(lead.mark, now)) return;
+  if (holders_.is_held(lead.mark, now)) return;
   Case& at = cases_[lead.service];
   if (at.was_raised && now - at.raised < options_.late_raise) return;  // an earlier call may still take effect
   const DatabaseSeat* old = seat_of(seats, lead.id);
@@ -228,7 +217,7 @@
 }
 
 void Failover::raise(const Lead& lead, const Seats& seats, Moment now) {
-  if (is_held(lead.mark, now)) return;
+  if (holders_.is_held(lead.mark, now)) return;
   Case& at = cases_[lead.service];
   if (const auto found = at.statuses.find(lead.target); found != at.statuses.end() && found->second.is_leader) {
     terms_[lead.service] = found->second.term;
--- a/src/coordination/failover.h
+++ b/src/coordination/failover.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/holders.h"
 #include "protocol/session_wire.h"
 #include "state/leads.h"
 #include "state/types.h"
@@ -19,8 +20,8 @@
 
 struct FailoverOptions {
   Span beat_every{1200};  // of backends
-  Span hold{4000};        // of poolers on the table of leads
-  Span settle{6000};      // a new leader of the core waits this long for what its forerunner gave or asked
+  Span hold{3000};        // of poolers on the table of leads
+  Span settle{4000};      // a new leader of the core waits this long for what its forerunner gave or asked
   Span ask_again{150};    // of a database that did not answer
   Span late_raise{4000};  // a call of duty without an answer may take effect until then
 };
@@ -50,7 +51,7 @@
     std::vector<std::string> news;      // for the log
   };
 
-  explicit Failover(FailoverOptions options) : options_(options) {}
+  explicit Failover(FailoverOptions options) : options_(options), holders_(options.hold, options.settle) {}
 
   // `is_leading`: leads the core under a lease. `table`: as committed.
   void tick(bool is_leading, const LeadTable& table, const std::map<std::string, int>& services, const std::vector<DatabaseSeat>& seats, Moment now);
@@ -65,11 +66,10 @@
   std::optional<Span> grant(const std::string& from, LifeId life, Moment now);
 
  private:
-  struct Holder {
-    LifeId life;
-    std::uint64_t mark = 0;   // of the table it acts by
-    Moment until{}, told{};
-    std::string locality, failing, fine;  // what it saw, by that table
+  struct Witness {  // a pooler, and what it saw by the table of this mark
+    std::uint64_t mark = 0;
+    Moment told{};
+    std::string locality, failing, fine;
   };
   struct Case {  // of one service under change; forgotten with the lead of the core
     Moment since{}, step_due{}, raised{};
@@ -93,7 +93,6 @@
   void raise(const Lead& lead, const Seats& seats, Moment now);
   void ask(const std::string& service, const std::string& id, const std::string& text, bool is_step_down);
   void change(Lead lead, const std::string& news);
-  bool is_held(std::uint64_t mark, Moment now) const;
   bool is_given_up(std::size_t place, Moment now, bool& is_unseen) const;
 
   FailoverOptions options_;
@@ -101,7 +100,8 @@
   Moment led_since_{};
   LeadTable table_;
   std::optional<LeadTable> next_;
-  std::map<std::string, Holder> holders_;  // by inner address
+  Holders holders_;
+  std::map<std::string, Witness> witnesses_;  // by inner address
   std::map<std::string, Case> cases_;
   std::map<std::uint64_t, Pending> pending_;
   std::map<std::string, Moment> stepped_;  // when a false leader was last told
--- /dev/null
+++ b/src/coordination/ring_watch.cpp
@@ -0,0 +1,179 @@
+#include "coordination/ring_watch.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <numeric>
+
+#include "state/bytes.h"
+
+namespace saddlewing {
+namespace {
+
+constexpr std::size_t most_told = 512;
+
+std::string percent(double share) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.0f %%", share * 100);
+  return text;
+}
+
+}  // namespace
+
+double RingLoads::fading(Moment since, Moment now) const {
+  const double age = std::chrono::duration<double, std::milli>(now - since).count();
+  return std::exp2(-age / static_cast<double>(half_life_.count()));
+}
+
+void RingLoads::add(VirtualNode virtual_node, const RingLoad& load, Moment now) {
+  if (virtual_node >= 65536) return;
+  if (rows_.size() <= virtual_node) rows_.resize(virtual_node + 1);
+  auto& [sum, when] = rows_[virtual_node];
+  const double kept = when == Moment{} ? 0 : fading(when, now);
+  sum = {sum.askings * kept, sum.busy_ms * kept, sum.bytes * kept};
+  sum += load;
+  when = now;
+}
+
+std::vector<RingLoad> RingLoads::sums(std::size_t count, Moment now) const {
+  std::vector<RingLoad> sums(count);
+  for (std::size_t place = 0; place < std::min(count, rows_.size()); ++place) {
+    const auto& [sum, when] = rows_[place];
+    const double kept = when == Moment{} ? 0 : fading(when, now);
+    sums[place] = {sum.askings * kept, sum.busy_ms * kept, sum.bytes * kept};
+  }
+  return sums;
+}
+
+std::string encode_loads(const std::vector<std::pair<VirtualNode, RingLoad>>& loads) {
+  Writer writer;
+  std::size_t left = most_told;
+  for (const auto& [virtual_node, load] : loads) {
+    if (left-- == 0) break;
+    writer.number(virtual_node).number(static_cast<std::uint64_t>(load.askings)).number(static_cast<std::uint64_t>(load.busy_ms * 1000));
+    writer.number(static_cast<std::uint64_t>(load.bytes));
+  }
+  return writer.take();
+}
+
+bool decode_loads(const std::string& bytes, std::vector<std::pair<VirtualNode, RingLoad>>& loads) {
+  ByteReader reader(bytes);
+  while (reader.is_good() && !reader.is_whole()) {
+    const auto virtual_node = static_cast<VirtualNode>(reader.number());
+    RingLoad load;
+    load.askings = static_cast<double>(reader.number());
+    load.busy_ms = static_cast<double>(reader.number()) / 1000;
+    load.bytes = static_cast<double>(reader.number());
+    if (reader.is_good()) loads.push_back({virtual_node, load});
+  }
+  return reader.is_good();
+}
+
+bool RingReport::is_balanced() const {
+  return std::none_of(nodes.begin(), nodes.end(), [](const NodeReport& node) { return node.is_over; });
+}
+
+double move_cost(const RingMap& ring, VirtualNode virtual_node, std::size_t from, std::size_t to, const WatchOptions& options) {
+  const RingNode &giver = ring.nodes[from], &taker = ring.nodes[to];
+  const bool is_same_region = !giver.region.empty() && giver.region == taker.region;
+  const double distance = giver.locality == taker.locality ? 1 : is_same_region ? options.distance_locality : options.distance_region;
+  const double pace = std::min({giver.disk_mb_s, taker.disk_mb_s, giver.link_mb_s, taker.link_mb_s});
+  return ring.size_of(virtual_node).second * distance / pace;
+}
+
+RingReport RingWatch::report(const RingMap& ring, const std::vector<RingLoad>& loads) {
+  RingReport report;
+  report.virtual_nodes = loads;
+  const std::size_t count = ring.nodes.size();
+  std::vector<double> busy(count);
+  double weights = 0, sum = 0, askings = 0;
+  for (const RingNode& node : ring.nodes) {
+    report.nodes.push_back({node.name, {}, 0, 0, 0, false});
+    weights += node.weight;
+  }
+  for (VirtualNode virtual_node = 0; virtual_node < ring.owners.size(); ++virtual_node) {
+    NodeReport& node = report.nodes[ring.owners[virtual_node]];
+    node.load += loads[virtual_node];
+    const auto [memory, disk] = ring.size_of(virtual_node);
+    node.memory_mb += memory;
+    node.disk_mb += disk;
+    busy[ring.owners[virtual_node]] += loads[virtual_node].busy_ms;
+    sum += loads[virtual_node].busy_ms;
+    askings += loads[virtual_node].askings;
+  }
+  const auto share_of = [&](std::size_t index) { return sum > 0 ? busy[index] / (sum * ring.nodes[index].weight / weights) : 0; };
+  for (std::size_t index = 0; index < count; ++index) report.nodes[index].share = share_of(index);
+  report.is_enough = askings >= options_.least_askings;
+  if (!report.is_enough) {
+    report.remarks.push_back("too few askings to judge by");
+    return report;
+  }
+  // Above the bound by more than chance explains; and until it is well under it again.
+  std::vector<std::string> over;
+  for (std::size_t index = 0; index < count; ++index) {
+    NodeReport& node = report.nodes[index];
+    const double chance = 3 / std::sqrt(std::max(1.0, node.load.askings));
+    const bool was_over = std::find(over_.begin(), over_.end(), node.name) != over_.end();
+    node.is_over = node.share > (was_over ? options_.settled : options_.over + chance);
+    if (node.is_over) over.push_back(node.name);
+  }
+  over_ = over;
+
+  std::vector<double> memory(count), disk(count);
+  for (std::size_t index = 0; index < count; ++index) memory[index] = report.nodes[index].memory_mb, disk[index] = report.nodes[index].disk_mb;
+  std::vector<bool> is_taken(ring.owners.size());
+  for (;;) {
+    std::size_t from = count;
+    for (std::size_t index = 0; index < count; ++index)
+      if (report.nodes[index].is_over && share_of(index) > options_.settled && (from == count || share_of(index) > share_of(from))) from = index;
+    if (from == count) break;
+    if (report.proposals.size() >= options_.most_proposals) {
+      report.remarks.push_back(ring.nodes[from].name + " stays at " + percent(share_of(from)) + ": as many moves as are proposed at once");
+      break;
+    }
+    // The move that takes most off for what it costs; never so that the receiver would carry too much in turn.
+    double best_worth = 0;
+    VirtualNode best = 0;
+    std::size_t best_to = count;
+    bool has_load = false, has_room = false;
+    for (VirtualNode virtual_node = 0; virtual_node < ring.owners.size(); ++virtual_node) {
+      if (ring.owners[virtual_node] != from || is_taken[virtual_node] || loads[virtual_node].busy_ms <= 0) continue;
+      has_load = true;
+      const auto [needs_memory, needs_disk] = ring.size_of(virtual_node);
+      for (std::size_t to = 0; to < count; ++to) {
+        if (to == from || memory[to] + needs_memory > ring.nodes[to].memory_mb || disk[to] + needs_disk > ring.nodes[to].disk_mb) continue;
+        has_room = true;
+        const double unit = sum / weights;
+        const double after_to = (busy[to] + loads[virtual_node].busy_ms) / (unit * ring.nodes[to].weight);
+        const double after_from = (busy[from] - loads[virtual_node].busy_ms) / (unit * ring.nodes[from].weight);
+        if (after_to > options_.settled || after_from < 2 - options_.over) continue;
+        const double worth = loads[virtual_node].busy_ms / unit / (0.2 + move_cost(ring, virtual_node, from, to, options_)) * (2 - after_to);
+        if (worth > best_worth) best_worth = worth, best = virtual_node, best_to = to;
+      }
+    }
+    if (best_to == count) {
+      report.remarks.push_back(ring.nodes[from].name + " stays at " + percent(share_of(from)) + ": " +
+                               (!has_load ? "nothing of it can be taken away" : !has_room ? "no node has memory and disk for it" : "every move would make another node carry too much"));
+      break;
+    }
+    MoveProposal proposal;
+    proposal.virtual_node = best;
+    proposal.from = ring.nodes[from].name;
+    proposal.to = ring.nodes[best_to].name;
+    proposal.load = loads[best];
+    std::tie(proposal.memory_mb, proposal.disk_mb) = ring.size_of(best);
+    proposal.cost = move_cost(ring, best, from, best_to, options_);
+    busy[from] -= loads[best].busy_ms;
+    busy[best_to] += loads[best].busy_ms;
+    memory[from] -= proposal.memory_mb, memory[best_to] += proposal.memory_mb;
+    disk[from] -= proposal.disk_mb, disk[best_to] += proposal.disk_mb;
+    is_taken[best] = true;
+    proposal.share_from = share_of(from);
+    proposal.share_to = share_of(best_to);
+    report.proposals.push_back(std::move(proposal));
+  }
+  if (report.proposals.empty() && report.is_balanced()) report.remarks.push_back("no node carries too much");
+  return report;
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/coordination/ring_watch.h
@@ -0,0 +1,83 @@
+#pragma once
+// How the ring spreads load over its nodes: who carries too much, and which virtual nodes could move. Pure.
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "state/ring.h"
+
+namespace saddlewing {
+
+struct RingLoad {
+  double askings = 0, busy_ms = 0, bytes = 0;
+  RingLoad& operator+=(const RingLoad& other) {
+    askings += other.askings, busy_ms += other.busy_ms, bytes += other.bytes;
+    return *this;
+  }
+};
+
+// Sums that fade: what came one half-life ago counts half.
+class RingLoads {
+ public:
+  explicit RingLoads(Span half_life) : half_life_(half_life) {}
+  void add(VirtualNode virtual_node, const RingLoad& load, Moment now);
+  std::vector<RingLoad> sums(std::size_t count, Moment now) const;
+
+ private:
+  double fading(Moment since, Moment now) const;
+  Span half_life_;
+  std::vector<std::pair<RingLoad, Moment>> rows_;
+};
+
+// What a broker counted since it last told: a bounded list, the busiest first.
+std::string encode_loads(const std::vector<std::pair<VirtualNode, RingLoad>>& loads);
+bool decode_loads(const std::string& bytes, std::vector<std::pair<VirtualNode, RingLoad>>& loads);
+
+struct WatchOptions {
+  double over = 1.25, settled = 1.10;  // of the mean: above `over` a node carries too much, until under `settled`
+  double least_askings = 200;          // fewer tell nothing
+  std::size_t most_proposals = 4;
+  double distance_locality = 2, distance_region = 8;  // cost of a byte over the way, against one within a locality
+};
+
+struct NodeReport {
+  std::string name;
+  RingLoad load;
+  double share = 0;        // busy time against the mean that its weight entitles it to; 1 is just that
+  double memory_mb = 0, disk_mb = 0;  // in use by its virtual nodes
+  bool is_over = false;
+};
+
+struct MoveProposal {
+  VirtualNode virtual_node = 0;
+  std::string from, to;
+  RingLoad load;
+  double memory_mb = 0, disk_mb = 0;
+  double share_from = 0, share_to = 0;  // expected after it and those before it
+  double cost = 0;                      // bytes times distance, over the receiver's disk
+};
+
+struct RingReport {
+  std::vector<NodeReport> nodes;
+  std::vector<RingLoad> virtual_nodes;
+  std::vector<MoveProposal> proposals;
+  std::vector<std::string> remarks;  // why the rest stays
+  bool is_enough = false;            // enough askings to judge by
+  bool is_balanced() const;
+};
+
+// Remembers who carried too much, so that noise around the bound proposes nothing.
+class RingWatch {
+ public:
+  explicit RingWatch(WatchOptions options) : options_(options) {}
+  RingReport report(const RingMap& ring, const std::vector<RingLoad>& loads);
+
+ private:
+  WatchOptions options_;
+  std::vector<std::string> over_;
+};
+
+// What a move of this virtual node costs between these nodes: its megabytes, weighed by distance and by the slower end.
+double move_cost(const RingMap& ring, VirtualNode virtual_node, std::size_t from, std::size_t to, const WatchOptions& options);
+
+}  // namespace saddlewing
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -49,7 +49,7 @@
       events_(4096, [this] { waker_.wake(); }), contacts_(4, [this] { waker_.wake(); }),
       agreement_(std::move(durable), agreement_options(startup, life, address_),
                  inner_addresses(startup.contacts, startup.inner_port), Clock::now()),
-      registry_(registry_options(startup)), failover_(failover_options(startup)), rollout_(startup.rollout_wait),
+      registry_(registry_options(startup)), failover_(failover_options(startup)), ring_moves_(move_options(startup)), rollout_(startup.rollout_wait),
       grants_(startup.extra_tries, startup.follow * 5, startup.retry_span), steps_(most_steps) {}
 
 Fault Core::open() { return hub_.open(context_, Address{startup_.ip_address, startup_.inner_port}); }
@@ -107,6 +107,7 @@
     note_commit(now);
     tend_registry(now);
     tend_databases(now);
+    tend_ring(now);
     grants_.lead(agreement_.is_leader() && agreement_.is_confirmed(now), now);
     tend_brokers(now);
     tend_rollout(now);
@@ -137,6 +138,8 @@
     take_backend(*backend, now);
   } else if (const auto* examined = std::get_if<Examined>(&event)) {
     failover_.finish_order(examined->token, examined->status, now);
+  } else if (const auto* told = std::get_if<NodeTold>(&event)) {
+    ring_moves_.finish_order(told->token, told->is_done, told->share);
   } else if (const auto* raised = std::get_if<Raised>(&event)) {
     failover_.finish_raise(raised->token, raised->status, now);
   }
@@ -179,6 +182,11 @@
         if ((is_good = decode(reader, roster))) take_roster(head, roster, now);
         break;
       }
+      case FrameKind::ring_call: {
+        RingCall call;
+        if ((is_good = decode(reader, call))) take_ring_call(parcel.route, call, now);
+        break;
+      }
       case FrameKind::renewed: {
         RenewedIds renewed;
         if ((is_good = decode(reader, renewed)))
@@ -246,6 +254,7 @@
   for (const auto& letter : output.letters) send_to(letter.to, encode(head(), letter.ballot));
   for (const auto& result : output.results) {
     if (result.token == ~0ull) failover_.finish_proposal();
+    if (result.token == ~0ull - 1) ring_moves_.finish_proposal();
     const auto found = calls_.find(result.token);
     if (found == calls_.end()) continue;
     if (result.verdict == Agreement::Verdict::done) finish_call(result.token, true, result.state ? result.state->body : "");
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -8,6 +8,7 @@
 #include "coordination/failover.h"
 #include "coordination/grants.h"
 #include "coordination/registry.h"
+#include "coordination/ring_moves.h"
 #include "coordination/rollout.h"
 #include "coordination/samples.h"
 #include "programs/desk.h"
@@ -24,6 +25,7 @@
 
 inline constexpr Span whole_silence{2500};  // a peer unheard for longer is not named to anyone
 FailoverOptions failover_options(const Startup& startup);
+MoveOptions move_options(const Startup& startup);
 
 class Core {
  public:
@@ -86,6 +88,12 @@
   void send_beat(Broker& broker, bool is_granting, Moment now, Beat beat = {});
   void take_backend(BackendCall& call, Moment now);
   void tend_databases(Moment now);
+  void take_ring_call(const std::string& route, const RingCall& call, Moment now);
+  RingAnswer answer_ring(const RingCall& call, Moment now);
+  Fault check_ring(const std::string& file, RingMap& ring) const;
+  std::string show_ring(bool has_proposals, Moment now);
+  void tend_ring(Moment now);
+  void take_ring_follow(const FrameHead& from, const Follow& follow, Beat& beat, Moment now);
   void take_pooler(const FrameHead& from, const Follow& follow, Broker& broker, Beat& beat, Moment now);
   void send_to(const std::string& address, const std::string& bytes);
   void reach(const std::string& address);
@@ -110,6 +118,17 @@
   LeadTable leads_;         // as committed
   std::string leads_text_;  // the same, as it travels
   EntryCapture leads_seen_;
+  RingSheet ring_sheet_;    // as committed; mark 0: none
+  std::string ring_text_;
+  RingMap ring_;
+  RingMoves ring_moves_;
+  RingWatch ring_watch_{WatchOptions{}};
+  RingLoads ring_loads_{Span(30000)};
+  std::map<std::string, Moment> ring_told_;  // brokers whose counts are in
+  double lookups_ = 0, late_lookups_ = 0;
+  Moment ring_due_{}, ring_watched_{};
+  bool is_ring_over_ = false;
+  EntryCapture ring_seen_;
   Samples samples_;         // of the poolers fed here
   std::uint64_t last_beat_ = 0;
   Term led_term_;           // the last term the failover knew of
--- a/src/programs/core_databases.cpp
+++ b/src/programs/core_databases.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::uint64_t sheet_token = ~0ull;  // of a proposed table of leads
 constexpr Span renewed_every{400};
-constexpr Span settle_margin{1200};           // beyond the hold and the election, for clocks that run a little apart
+constexpr Span settle_margin{100};            // beyond the hold and the election, for clocks that run a little apart
 
 }  // namespace
 
@@ -78,10 +78,10 @@
   };
   for (const Failover::Order& order : output.orders) {
     const RosterEntry entry = address_of(order.id);
-    if (!envoy_->order({order.token, entry.service, order.id, entry.address, order.text, 0, now + startup_.election / 2})) LOG(ERROR) << "leads: envoy is behind";
+    if (!envoy_->order({order.token, entry.service, order.id, entry.address, order.text, {}, 0, now + startup_.election / 2})) LOG(ERROR) << "leads: envoy is behind";
   }
   for (const Failover::Raise& raise : output.raises)
-    if (!envoy_->order({raise.token, raise.service, raise.id, {}, {}, agreement_.term().value, now + startup_.election / 4}))
+    if (!envoy_->order({raise.token, raise.service, raise.id, {}, {}, {}, agreement_.term().value, now + startup_.election / 4}))
       failover_.finish_raise(raise.token, 0, now);
   if (output.proposal) agreement_.propose_sheet(leads_sheet, encode_leads(*output.proposal), sheet_token, now);
 }
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -137,6 +137,7 @@
   broker.leads_mark = follow.leads_mark;
   Beat beat;
   if (!follow.locality.empty()) take_pooler(from, follow, broker, beat, now);
+  else take_ring_follow(from, follow, beat, now);
   send_beat(broker, true, now, std::move(beat));
   if (follow.wants_body && configuration_ && configuration_->edition > follow.edition)
     hub_.send(route, encode(head(), Body{configuration_->edition, packed_}));
--- /dev/null
+++ b/src/programs/core_ring.cpp
@@ -0,0 +1,229 @@
+// The agree thread's care for the hash ring: its watch, its moves, and the operator's calls for both.
+#include <glog/logging.h>
+#include <json/json.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "programs/core.h"
+#include "state/metrics.h"
+
+namespace saddlewing {
+namespace {
+
+constexpr std::uint64_t ring_token = ~0ull - 1;  // of a proposed sheet
+constexpr Span ring_every{200}, watch_every{5000};
+constexpr Span counts_are_in{3000};              // a broker that told nothing for longer is missing
+constexpr double most_late = 0.02;               // of short lookups; more, and moves pause
+constexpr double kept_lookups = 0.8;             // of their counts, each turn
+
+std::string write(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+Json::Value show(const RingLoad& load) {
+  Json::Value value(Json::objectValue);
+  value["askings"] = std::round(load.askings);
+  value["busy_ms"] = std::round(load.busy_ms);
+  value["bytes"] = std::round(load.bytes);
+  return value;
+}
+
+}  // namespace
+
+MoveOptions move_options(const Startup& startup) {
+  MoveOptions options;
+  options.hold = startup.lead_hold;
+  options.settle = startup.lead_hold + startup.election + Span(100);
+  return options;
+}
+
+Fault Core::check_ring(const std::string& file, RingMap& ring) const {
+  if (Fault found = read_ring(file, ring)) return found;
+  if (!configuration_) return fault(Kind::no_leader, "no configuration was taken yet");
+  const auto& rules = configuration_->rules;
+  const auto rule = std::find_if(rules.begin(), rules.end(), [&](const Rule& one) { return one.name == ring.rule; });
+  if (rule == rules.end() || rule->shares.empty()) return fault(Kind::invalid, "rule " + ring.rule + " is no rule with a service or shares");
+  for (const RingNode& node : ring.nodes) {
+    const bool is_allowed = std::any_of(rule->shares.begin(), rule->shares.end(), [&](const Share& share) {
+      return share.weight > 0 && configuration_->services[share.service.value].name == node.name;
+    });
+    if (!is_allowed) return fault(Kind::invalid, "nodes " + node.name + ": rule " + ring.rule + " does not allow it");
+  }
+  return {};
+}
+
+std::string Core::show_ring(bool has_proposals, Moment now) {
+  const RingReport report = ring_watch_.report(ring_, ring_loads_.sums(ring_.owners.size(), now));
+  Json::Value root(Json::objectValue);
+  root["edition"] = Json::Int64(ring_.edition.value);
+  root["mark"] = Json::UInt64(ring_sheet_.mark);
+  root["balanced"] = report.is_balanced();
+  root["enough"] = report.is_enough;
+  for (const NodeReport& node : report.nodes) {
+    Json::Value value = show(node.load);
+    value["node"] = node.name;
+    value["share"] = node.share;
+    value["over"] = node.is_over;
+    value["memory_mb"] = node.memory_mb;
+    value["disk_mb"] = node.disk_mb;
+    root["nodes"].append(value);
+  }
+  for (VirtualNode virtual_node = 0; virtual_node < ring_.owners.size(); ++virtual_node) {
+    Json::Value value = show(report.virtual_nodes[virtual_node]);
+    value["virtual_node"] = virtual_node;
+    value["node"] = ring_.owner(virtual_node).name;
+    root["virtual_nodes"].append(value);
+  }
+  for (const auto& [from, broker] : brokers_) {
+    const auto told = ring_told_.find(from);
+    if (!broker.is_pooler && (told == ring_told_.end() || now - told->second > counts_are_in)) root["missing"].append(from);
+  }
+  if (has_proposals)
+    for (const MoveProposal& proposal : report.proposals) {
+      Json::Value value = show(proposal.load);
+      value["virtual_node"] = proposal.virtual_node;
+      value["from"] = proposal.from;
+      value["to"] = proposal.to;
+      value["memory_mb"] = proposal.memory_mb;
+      value["disk_mb"] = proposal.disk_mb;
+      value["share_from"] = proposal.share_from;
+      value["share_to"] = proposal.share_to;
+      value["cost"] = proposal.cost;
+      root["proposals"].append(value);
+    }
+  for (const std::string& remark : report.remarks) root["remarks"].append(remark);
+  return write(root);
+}
+
+RingAnswer Core::answer_ring(const RingCall& call, Moment now) {
+  const auto refuse = [](const std::string& reason) { return RingAnswer{false, {}, reason, {}}; };
+  if (!agreement_.is_leader()) return {false, agreement_.leader_address(), "another registry leads", {}};
+  if (!agreement_.is_leased(now)) return refuse("no majority of the core answers");
+  if (call.verb == "apply") {
+    RingMap ring;
+    if (Fault found = check_ring(call.text, ring)) return refuse(found.step);
+    if (ring.edition <= ring_.edition) return refuse("edition: " + std::to_string(ring_.edition.value) + " is in force, a higher one is needed");
+    if (std::any_of(ring_moves_.moves().begin(), ring_moves_.moves().end(), [](const RingMove& move) { return move.is_open(); }))
+      return refuse("a move is under way");
+    RingSheet next = ring_sheet_;
+    next.mark = ring_sheet_.mark + 1;
+    next.file = call.text;
+    agreement_.propose_sheet(ring_sheet, encode_ring(next), ring_token, now);
+    return {true, {}, {}, "{\"edition\":" + std::to_string(ring.edition.value) + "}"};
+  }
+  if (!ring_sheet_.mark) return refuse("no ring is in force");
+  if (call.verb == "report" || call.verb == "propose") return {true, {}, {}, show_ring(call.verb == "propose", now)};
+  if (call.verb == "move") {
+    const auto space = call.text.find(' ');
+    const std::string number = call.text.substr(0, space);
+    if (space == std::string::npos || number.empty() || number.size() > 6 || number.find_first_not_of("0123456789") != std::string::npos)
+      return refuse("a move needs a virtual node and a receiver");
+    std::set<std::string> serving;
+    for (const auto& [id, line] : registry_.lines())
+      if (line.entry.phase == Phase::ready && line.entry.status == Status::up) serving.insert(line.entry.service);
+    const std::string reason = ring_moves_.request(static_cast<VirtualNode>(std::stoul(number)), call.text.substr(space + 1), ring_, serving);
+    return reason.empty() ? RingAnswer{true, {}, {}, "{}"} : refuse(reason);
+  }
+  if (call.verb == "undo") {
+    if (call.text.empty() || call.text.size() > 15 || call.text.find_first_not_of("0123456789") != std::string::npos) return refuse("undo needs a move's number");
+    const std::string reason = ring_moves_.undo(std::stoull(call.text));
+    return reason.empty() ? RingAnswer{true, {}, {}, "{}"} : refuse(reason);
+  }
+  if (call.verb != "status") return refuse("unknown call " + call.verb);
+  Json::Value root(Json::objectValue);
+  root["paused"] = ring_moves_.is_paused();
+  for (const RingMove& move : ring_moves_.moves()) {
+    Json::Value value(Json::objectValue);
+    value["move"] = Json::UInt64(move.id);
+    value["virtual_node"] = move.virtual_node;
+    value["from"] = move.from;
+    value["to"] = move.to;
+    value["step"] = name_of(move.step);
+    value["copied"] = ring_moves_.progress(move.id);
+    root["moves"].append(value);
+  }
+  return {true, {}, {}, write(root)};
+}
+
+void Core::take_ring_call(const std::string& route, const RingCall& call, Moment now) { hub_.send(route, encode(head(), answer_ring(call, now))); }
+
+void Core::take_ring_follow(const FrameHead& from, const Follow& follow, Beat& beat, Moment now) {
+  if (!ring_sheet_.mark) return;
+  beat.token = follow.token;
+  beat.ring_mark = ring_sheet_.mark;
+  if (follow.ring_held < ring_sheet_.mark) beat.ring = ring_text_;
+  if (!agreement_.is_leased(now) || should_leave_) return;
+  ring_moves_.holders().note(from.from, from.life, follow.ring_mark, now);
+  beat.hold = static_cast<std::uint64_t>(ring_moves_.holders().grant(from.from, from.life, now).count());
+  std::vector<std::pair<VirtualNode, RingLoad>> loads;
+  if (decode_loads(follow.ring_loads, loads))
+    for (const auto& [virtual_node, load] : loads)
+      if (virtual_node < ring_.owners.size()) ring_loads_.add(virtual_node, load, now);
+  ring_told_[from.from] = now;
+  lookups_ += static_cast<double>(follow.lookups);
+  late_lookups_ += static_cast<double>(follow.late_lookups);
+}
+
+void Core::tend_ring(Moment now) {
+  const EntryCapture& committed = agreement_.committed();
+  if (committed && committed != ring_seen_) {
+    ring_seen_ = committed;
+    const auto sheet = committed->sheets.find(ring_sheet);
+    RingSheet read;
+    RingMap ring;
+    if (sheet != committed->sheets.end() && decode_ring(sheet->second, read) && read.mark > ring_sheet_.mark && !ring_of(read, ring)) {
+      ring_sheet_ = std::move(read);
+      ring_ = std::move(ring);
+      ring_text_ = sheet->second;
+      for (auto& [from, broker] : brokers_) {
+        if (broker.is_pooler) continue;
+        Beat beat;
+        beat.ring_mark = ring_sheet_.mark;
+        beat.ring = ring_text_;
+        send_beat(broker, false, now, std::move(beat));
+      }
+    }
+  }
+  if (!ring_sheet_.mark || now < ring_due_) return;
+  ring_due_ = now + ring_every;
+  if (!agreement_.is_leader()) return ring_moves_.tick(false, ring_sheet_, ring_, true, now);
+  if (!agreement_.is_leased(now)) return;
+  const bool are_lookups_well = late_lookups_ <= most_late * std::max(50.0, lookups_);
+  lookups_ *= kept_lookups;
+  late_lookups_ *= kept_lookups;
+  ring_moves_.tick(true, ring_sheet_, ring_, are_lookups_well, now);
+  RingMoves::Output output = ring_moves_.take();
+  for (const std::string& news : output.news) LOG(INFO) << "ring: " << news;
+  for (const RingMoves::Order& order : output.orders) {
+    Json::Value value(Json::objectValue);
+    value["move"] = Json::UInt64(order.move);
+    value["what"] = order.what;
+    value["virtual_node"] = order.virtual_node;
+    value["mb_per_s"] = order.mb_s;
+    const auto address_of = [&](const std::string& node) {
+      for (const auto& [id, line] : registry_.lines())
+        if (line.entry.service == node && line.entry.phase == Phase::ready && line.entry.status == Status::up) return line.entry;
+      return RosterEntry{};
+    };
+    value["other"] = address_of(order.other).address;
+    const RosterEntry entry = address_of(order.node);
+    EnvoyOrder sent{order.token, order.node, entry.id, entry.address, {}, write(value), 0, now};
+    if (!envoy_->order(std::move(sent))) ring_moves_.finish_order(order.token, false, 0);
+  }
+  if (output.proposal) agreement_.propose_sheet(ring_sheet, encode_ring(*output.proposal), ring_token, now);
+  metrics().set(Metric::ring_moves, std::count_if(ring_moves_.moves().begin(), ring_moves_.moves().end(), [](const RingMove& move) { return move.is_open(); }));
+  if (now - ring_watched_ < watch_every) return;
+  ring_watched_ = now;
+  const RingReport report = ring_watch_.report(ring_, ring_loads_.sums(ring_.owners.size(), now));
+  std::string over;
+  for (const NodeReport& node : report.nodes)
+    if (node.is_over) over += (over.empty() ? "" : ", ") + node.name;
+  metrics().set(Metric::ring_over, std::count_if(report.nodes.begin(), report.nodes.end(), [](const NodeReport& node) { return node.is_over; }));
+  if (over.empty() == is_ring_over_) LOG(WARNING) << "ring: " << (over.empty() ? "no node carries too much any more" : "too much is carried by " + over);
+  is_ring_over_ = !over.empty();
+}
+
+}  // namespace saddlewing
--- a/src/programs/envoy.cpp
+++ b/src/programs/envoy.cpp
@@ -38,6 +38,7 @@
 void Envoy::begin(EnvoyOrder order, Moment now) {
   errands_.push_back(std::make_unique<Errand>(*this, std::move(order)));
   Errand& errand = *errands_.back();
+  if (!errand.order.node_order.empty()) return begin_node(errand, now);
   if (!errand.order.text.empty()) {
     schedule_.set(errand, now + database_wait);
     errand.link = std::make_unique<WireLink>(poller_, WireLink::Owner{[this, &errand](WireMessage&& message) { return take(errand, std::move(message)); },
@@ -57,10 +58,22 @@
   builder["indentation"] = "";
   const std::string body = Json::writeString(builder, value);
   const CallRow& row = row_of(Call::raise);
-  std::string request = std::string(row.method) + " " + std::string(row.path) + " HTTP/1.1\r\nHost: " + startup_.platform.text() + "\r\n";
-  request += std::string(field::duty_owner) + ": " + startup_.node_name + "\r\n" + field::owner_number + ": " + std::to_string(errand.order.owner_number);
-  request += "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  errand.caller = std::make_unique<Caller>(poller_, errand, startup_.platform, 16384, 65536);
+  const std::string fields = std::string(field::duty_owner) + ": " + startup_.node_name + "\r\n" + field::owner_number + ": " +
+                             std::to_string(errand.order.owner_number) + "\r\n";
+  call(errand, startup_.platform, row, fields, body);
+}
+
+void Envoy::begin_node(Errand& errand, Moment now) {
+  schedule_.set(errand, now + database_wait);
+  Address address;
+  if (!parse_address(errand.order.address, address)) return finish(errand, 0);
+  call(errand, address, row_of(Call::move_step), std::string(field::meant_server) + ": " + errand.order.id + "\r\n", errand.order.node_order);
+}
+
+void Envoy::call(Errand& errand, const Address& address, const CallRow& row, const std::string& fields, const std::string& body) {
+  std::string request = std::string(row.method) + " " + std::string(row.path) + " HTTP/1.1\r\nHost: " + address.text() + "\r\n" + fields;
+  request += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  errand.caller = std::make_unique<Caller>(poller_, errand, address, 16384, 65536);
   if (!errand.caller->ask(request, false)) finish(errand, 0);
 }
 
@@ -79,6 +92,17 @@
   if (errand.is_over) return;
   errand.is_over = true;
   schedule_.drop(errand);
+  if (!errand.order.node_order.empty()) {
+    NodeTold told{errand.order.token, false, 0};
+    Json::Value value;
+    std::string reason;
+    if (status == 200 && read_json(errand.caller->reader().body(), value, reason) && value.isObject()) {
+      told.is_done = value["is_done"].isBool() && value["is_done"].asBool();
+      if (value["share"].isNumeric()) told.share = std::clamp(value["share"].asDouble(), 0.0, 1.0);
+    }
+    events_.push(told);
+    return;
+  }
   if (errand.caller) {
     LOG(INFO) << "envoy: the platform was told that " << errand.order.id << " is to lead " << errand.order.service << ": "
               << (status ? std::to_string(status) : "no answer");
--- a/src/programs/envoy.h
+++ b/src/programs/envoy.h
@@ -7,6 +7,7 @@
 
 #include "programs/rings.h"
 #include "state/startup.h"
+#include "protocol/calls.h"
 #include "transport/caller.h"
 #include "transport/schedule.h"
 #include "transport/wire_link.h"
@@ -37,6 +38,8 @@
   };
   void run();
   void begin(EnvoyOrder order, Moment now);
+  void begin_node(Errand& errand, Moment now);
+  void call(Errand& errand, const Address& address, const CallRow& row, const std::string& fields, const std::string& body);
   bool take(Errand& errand, WireMessage&& message);
   void finish(Errand& errand, int status);
 
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -63,6 +63,11 @@
       for (auto& [address, source] : sources_)
         if (source.is_leader) follow_one(source, false);
     }
+    if (const std::uint64_t mark = ring_confirmed_; mark != ring_told_) {
+      ring_told_ = mark;
+      for (auto& [address, source] : sources_)
+        if (source.is_leader) follow_one(source, false);
+    }
     if (now >= follow_due_) follow_all(now);
     handles.assign({hub_.handle()});
     for (const auto& [address, source] : sources_) handles.push_back(source.spoke->handle());
@@ -87,8 +92,21 @@
 }
 
 void Follower::follow_one(Source& source, bool wants_body) {
-  Follow follow{turnover_.held(), source.life, source.mark, wants_body, source.is_feed, startup_.region, is_ready_ && !is_leaving_, seats_mark_,
-                token_, confirmed_mark_, hold_ ? startup_.locality : std::string(), {}, {}, {}, 0, 0, 0};
+  Follow follow;
+  follow.edition = turnover_.held();
+  follow.roster_life = source.life;
+  follow.roster_mark = source.mark;
+  follow.wants_body = wants_body;
+  follow.wants_roster = source.is_feed;
+  follow.region = startup_.region;
+  follow.is_ready = is_ready_ && !is_leaving_;
+  follow.seats_mark = seats_mark_;
+  follow.token = token_;
+  follow.leads_mark = confirmed_mark_;
+  if (hold_) follow.locality = startup_.locality;
+  follow.ring_mark = ring_confirmed_;
+  follow.ring_held = ring_mark_;
+  if (ring_mark_ && source.is_leader) count_ring(follow);
   if (hold_ && (source.is_leader || source.is_feed)) {
     follow.failing = seen_.failing;
     follow.fine = seen_.fine;
@@ -181,6 +199,7 @@
   // The leader alone hears of every broker often.
   if (beat.is_leader) turnover_.see_in_force(beat.in_force);
   if (hold_) take_hold(source, beat, now);
+  if (ring_) take_ring(beat);
   if (!is_ready_) choose_feed(now);
   if (beat.grant_valid) {  // its span runs from the leader's sending, which is after our follow
     reserve_.take(static_cast<double>(beat.grant) / 1000, Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.grant_valid, 60000))), followed_);
@@ -203,6 +222,32 @@
   turn(now);
 }
 
+void Follower::count_ring(Follow& follow) {
+  std::map<VirtualNode, RingLoad> sums;
+  for (const RingCounts& counts : ring_counts_.take()) {
+    for (const auto& [virtual_node, load] : counts.loads) sums[virtual_node] += load;
+    follow.lookups += counts.lookups;
+    follow.late_lookups += counts.late;
+  }
+  std::vector<std::pair<VirtualNode, RingLoad>> loads(sums.begin(), sums.end());
+  std::sort(loads.begin(), loads.end(), [](const auto& left, const auto& right) { return left.second.busy_ms > right.second.busy_ms; });
+  follow.ring_loads = encode_loads(loads);
+}
+
+void Follower::take_ring(const Beat& beat) {
+  RingNews news;
+  if (!beat.ring.empty() && beat.ring_mark > ring_mark_) {
+    RingSheet sheet;
+    if (decode_ring(beat.ring, sheet) && sheet.mark == beat.ring_mark && (news.view = view_ring(sheet))) {
+      ring_mark_ = sheet.mark;
+      LOG(INFO) << "follow: ring " << ring_mark_ << " held";
+    }
+  }
+  if (const auto asked = asked_.find(beat.token); beat.hold && asked != asked_.end())
+    news.until = asked->second + Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.hold, 60000)));
+  if (news.view || (ring_mark_ && beat.hold)) ring_(std::move(news));
+}
+
 // Invariant: a hold counts from the moment of asking, and a table is handed on before a hold that covers it.
 void Follower::take_hold(Source& source, Beat& beat, Moment now) {
   source.serial = beat.serial;
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/grants.h"
+#include "coordination/ring_gate.h"
 #include "coordination/registry.h"
 #include "coordination/rollout.h"
 #include "protocol/steps.h"
@@ -47,6 +48,17 @@
   Moment built{};       // not after the ages were counted
 };
 
+// The ring a broker may act by, and until when for what may run once.
+struct RingNews {
+  RingCapture view;  // null: as before
+  Moment until{};
+};
+// What a broker sent by the ring since it last told.
+struct RingCounts {
+  std::vector<std::pair<VirtualNode, RingLoad>> loads;
+  std::uint64_t lookups = 0, late = 0;
+};
+
 // Frames between brokers, handed over by the traffic thread.
 struct AidOut {
   std::string to;           // inner address for an aid, route for its outcome
@@ -83,6 +95,12 @@
     confirmed_mark_ = mark;
     waker_.wake();
   }
+  // Of a broker: who is told of the ring.
+  void set_ring(std::function<void(RingNews)> ring) { ring_ = std::move(ring); }
+  void confirm_ring(std::uint64_t mark) {
+    if (ring_confirmed_.exchange(mark) != mark) waker_.wake();
+  }
+  void report_ring(RingCounts counts) { ring_counts_.push(std::move(counts)); }
   void report(Evidence evidence) { evidence_.push(std::move(evidence)); }
   void set_contacts(const std::vector<Address>& contacts) {
     contacts_.push(contacts);
@@ -110,6 +128,8 @@
   void follow_all(Moment now);
   void follow_one(Source& source, bool wants_body);
   void choose_feed(Moment now);
+  void count_ring(Follow& follow);
+  void take_ring(const Beat& beat);
   void take_hold(Source& source, Beat& beat, Moment now);
   void fetch(Moment now);
   void check_ready(Moment now);
@@ -148,6 +168,10 @@
 
   std::function<void(HoldNews)> hold_;
   std::function<void(SampleNews)> sample_;
+  std::function<void(RingNews)> ring_;
+  Ring<RingCounts> ring_counts_{64, {}};
+  std::atomic<std::uint64_t> ring_confirmed_ = 0;
+  std::uint64_t ring_told_ = 0, ring_mark_ = 0;
   Ring<Evidence> evidence_{16, {}};
   Evidence seen_;
   std::atomic<std::uint64_t> confirmed_mark_ = 0;
--- a/src/programs/rings.h
+++ b/src/programs/rings.h
@@ -39,10 +39,16 @@
   std::uint64_t token = 0;
   int status = 0;
 };
+struct NodeTold {  // envoy to agree: what a node of the ring said
+  std::uint64_t token = 0;
+  bool is_done = false;
+  double share = 0;
+};
 struct EnvoyOrder {  // agree to envoy
   std::uint64_t token = 0;
   std::string service, id, address;  // of a database
   std::string text;                  // empty: the call of duty for this backend
+  std::string node_order;            // to a node of the ring instead: JSON
   std::uint64_t owner_number = 0;
   Moment until{};                    // not begun after that: the lease would be over
 };
@@ -57,7 +63,7 @@
 struct Renewed {  // watch to agree: a probe was answered
   std::string id;
 };
-using CoreEvent = std::variant<OperatorCall, Saved, Listed, Renewed, BackendCall, Examined, Raised>;
+using CoreEvent = std::variant<OperatorCall, Saved, Listed, Renewed, BackendCall, Examined, Raised, NodeTold>;
 
 struct WatchTarget {
   std::string id, address, health_path;
--- a/src/protocol/calls.h
+++ b/src/protocol/calls.h
@@ -4,7 +4,7 @@
 
 namespace saddlewing {
 
-enum class Call { put_settings, get_settings, readiness, list_backends, probe_backend, metrics, beat, leave, raise };
+enum class Call { put_settings, get_settings, readiness, list_backends, probe_backend, metrics, beat, leave, raise, move_step };
 
 struct CallRow {
   Call call;
@@ -22,6 +22,7 @@
     {Call::beat, "PUT", "/backends/"},   // and the backend's id
     {Call::leave, "DELETE", "/backends/"},
     {Call::raise, "POST", "/raise"},
+    {Call::move_step, "POST", "/ring/moves"},  // of this project, to nodes of the ring
 };
 
 constexpr const CallRow& row_of(Call call) {
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -109,7 +109,7 @@
   writer.number(value.edition.value).number(value.roster_life).number(value.roster_mark).number(value.wants_body).number(value.wants_roster);
   writer.text(value.region).number(value.is_ready).number(value.seats_mark);
   writer.number(value.token).number(value.leads_mark).text(value.locality).text(value.failing).text(value.fine).text(value.samples);
-  writer.number(value.samples_age).number(value.echo).number(value.gap);
+  writer.number(value.samples_age).number(value.ring_mark).number(value.ring_held).text(value.ring_loads).number(value.lookups).number(value.late_lookups).number(value.echo).number(value.gap);
   return writer.take();
 }
 
@@ -129,6 +129,11 @@
   value.fine = reader.text();
   value.samples = reader.text();
   value.samples_age = reader.number();
+  value.ring_mark = reader.number();
+  value.ring_held = reader.number();
+  value.ring_loads = reader.text();
+  value.lookups = reader.number();
+  value.late_lookups = reader.number();
   value.echo = reader.number();
   value.gap = reader.number();
   return reader.is_whole();
@@ -142,7 +147,7 @@
   write_texts(writer, value.registries);
   writer.number(value.seats_mark).number(value.seats.size());
   for (const BrokerSeat& seat : value.seats) writer.text(seat.address).text(seat.region);
-  writer.number(value.token).number(value.hold).number(value.leads_mark).text(value.leads).text(value.samples).number(value.serial);
+  writer.number(value.token).number(value.hold).number(value.leads_mark).text(value.leads).text(value.samples).number(value.serial).number(value.ring_mark).text(value.ring);
   return writer.take();
 }
 
@@ -170,6 +175,8 @@
   value.leads = reader.text();
   value.samples = reader.text();
   value.serial = reader.number();
+  value.ring_mark = reader.number();
+  value.ring = reader.text();
   return reader.is_whole();
 }
 
@@ -316,10 +323,32 @@
   return reader.is_whole();
 }
 
+std::string encode(const FrameHead& head, const RingCall& value) {
+  return open_frame(head, FrameKind::ring_call).text(value.verb).text(value.text).take();
+}
+
+bool decode(ByteReader& reader, RingCall& value) {
+  value.verb = reader.text();
+  value.text = reader.text();
+  return reader.is_whole();
+}
+
+std::string encode(const FrameHead& head, const RingAnswer& value) {
+  return open_frame(head, FrameKind::ring_answer).number(value.is_done).text(value.leader).text(value.reason).text(value.text).take();
+}
+
+bool decode(ByteReader& reader, RingAnswer& value) {
+  value.is_done = reader.number();
+  value.leader = reader.text();
+  value.reason = reader.text();
+  value.text = reader.text();
+  return reader.is_whole();
+}
+
 bool decode_head(ByteReader& reader, FrameHead& head) {
   if (reader.number() != protocol_number) return false;
   const std::uint64_t kind = reader.number();
-  if (kind < static_cast<std::uint64_t>(FrameKind::ballot) || kind > static_cast<std::uint64_t>(FrameKind::renewed)) return false;
+  if (kind < static_cast<std::uint64_t>(FrameKind::ballot) || kind > static_cast<std::uint64_t>(FrameKind::ring_answer)) return false;
   head.kind = static_cast<FrameKind>(kind);
   head.life.value = reader.number();
   head.from = reader.text();
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -25,6 +25,8 @@
   aid,          // a broker has parts gathered by one near the backends
   aided,        // what came of it
   renewed,      // backends that told a registry of themselves
+  ring_call,    // an operator's call concerning the ring
+  ring_answer,
 };
 
 struct FrameHead {
@@ -79,6 +81,11 @@
   std::string failing, fine;     // a bit for each lead of that table: nothing but breakdowns of late; heard of late
   std::string samples;           // places in logs, see coordination/samples.h
   std::uint64_t samples_age = 0; // milliseconds since they were gathered
+  // Of a broker, where a ring is in force:
+  std::uint64_t ring_mark = 0;   // of the sheet it acts by alone
+  std::uint64_t ring_held = 0;   // of the sheet it has
+  std::string ring_loads;        // what it sent to each virtual node since its last follow
+  std::uint64_t lookups = 0, late_lookups = 0;  // short ones, and how many of them missed their aim
   std::uint64_t echo = 0, gap = 0;  // the last beat heard of this registry, and milliseconds since
 };
 
@@ -108,6 +115,20 @@
   std::string leads;             // the table, unless the pooler has this mark
   std::string samples;           // with ages as of this beat's leaving
   std::uint64_t serial = 0;      // of this beat, for the echo
+  // To a broker:
+  std::uint64_t ring_mark = 0;   // 0: no ring
+  std::string ring;              // the sheet, unless the broker has it
+};
+
+// An operator's call, from the command line, and its outcome.
+struct RingCall {
+  std::string verb, text;  // apply: the file; move: virtual node and receiver; undo: the move
+};
+struct RingAnswer {
+  bool is_done = false;
+  std::string leader;      // not done, and another leads: ask there
+  std::string reason;      // not done
+  std::string text;        // JSON
 };
 
 struct Body {
@@ -199,6 +220,8 @@
 std::string encode(const FrameHead& head, const Aid& value);
 std::string encode(const FrameHead& head, const Aided& value);
 std::string encode(const FrameHead& head, const RenewedIds& value);
+std::string encode(const FrameHead& head, const RingCall& value);
+std::string encode(const FrameHead& head, const RingAnswer& value);
 std::string encode_trace(const FrameHead& head);
 
 // The head alone; false for a foreign or damaged frame.
@@ -214,5 +237,7 @@
 bool decode(ByteReader& reader, Aid& value);
 bool decode(ByteReader& reader, Aided& value);
 bool decode(ByteReader& reader, RenewedIds& value);
+bool decode(ByteReader& reader, RingCall& value);
+bool decode(ByteReader& reader, RingAnswer& value);
 
 }  // namespace saddlewing
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -20,6 +20,8 @@
     {Metric::waiting, "saddlewing_waiting", "Sessions that wait for a leader or a connection.", false},
     {Metric::statements, "saddlewing_statements_total", "Statements taken.", true},
     {Metric::unknown_outcomes, "saddlewing_unknown_outcomes_total", "Statements answered UNKNOWN.", true},
+    {Metric::ring_over, "saddlewing_ring_nodes_over", "Nodes of the ring that carry too much.", false},
+    {Metric::ring_moves, "saddlewing_ring_moves_open", "Moves of virtual nodes under way.", false},
     {Metric::brokers, "saddlewing_brokers", "Brokers heard of late.", false},
     {Metric::backends_up, "saddlewing_backends_up", "Backends that are UP.", false},
     {Metric::evictions, "saddlewing_evictions_total", "Holds evicted by the sweep.", true},
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -13,7 +13,7 @@
   // pooler
   lanes, lanes_opened, waiting, statements, unknown_outcomes,
   // registry
-  brokers, backends_up, evictions, saves_failed, leads, calls_taken, calls_failed,
+  ring_over, ring_moves, brokers, backends_up, evictions, saves_failed, leads, calls_taken, calls_failed,
   // both
   edition,
   count
--- /dev/null
+++ b/src/state/ring.cpp
@@ -0,0 +1,177 @@
+#include "state/ring.h"
+
+#include <xxhash.h>
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "state/bytes.h"
+
+namespace saddlewing {
+namespace {
+
+constexpr std::size_t most_nodes = 1000, most_virtual = 65536;
+
+std::uint64_t digest(std::string_view text, std::uint64_t seed = 0) { return XXH64(text.data(), text.size(), seed); }
+
+// Which node the file itself gives a virtual node to: weighted rendezvous, so that a node more or less moves least.
+std::uint32_t choose_owner(const std::vector<RingNode>& nodes, VirtualNode virtual_node) {
+  std::uint32_t best = 0;
+  double best_score = -1;
+  for (std::uint32_t index = 0; index < nodes.size(); ++index) {
+    const double drawn = (static_cast<double>(digest(nodes[index].name, virtual_node + 1) >> 11) + 0.5) / 9007199254740992.0;
+    const double score = nodes[index].weight / -std::log(drawn);
+    if (score > best_score) best = index, best_score = score;
+  }
+  return best;
+}
+
+// Reads fields of one map; the first fault stays.
+struct YamlFields {
+  const YAML::Node& node;
+  std::string place;
+  std::string& first;
+  void fail(const std::string& what) const {
+    if (first.empty()) first = place + what;
+  }
+  std::string text(const char* name) const {
+    if (node[name] && node[name].IsScalar() && !node[name].Scalar().empty()) return node[name].Scalar();
+    fail(std::string(name) + " is missing or not a text");
+    return {};
+  }
+  double number(const char* name, double least, double most, double otherwise, bool is_required) const {
+    if (!node[name]) {
+      if (is_required) fail(std::string(name) + " is missing");
+      return otherwise;
+    }
+    double value = 0;
+    if (!node[name].IsScalar() || !YAML::convert<double>::decode(node[name], value) || !std::isfinite(value)) return fail(std::string(name) + " is not a number"), otherwise;
+    if (value < least || value > most) return fail(std::string(name) + " is out of range"), otherwise;
+    return value;
+  }
+};
+
+Fault read_root(const YAML::Node& root, RingMap& read) {
+  std::string first;
+  if (!root.IsMap()) return fault(Kind::invalid, "the ring file is not a map");
+  const YamlFields top{root, "", first};
+  read.edition.value = static_cast<std::int64_t>(top.number("edition", 1, 9e15, 0, true));
+  read.rule = top.text("rule");
+  read.key_part = static_cast<std::size_t>(top.number("key_part", 0, 32, 0, false));
+  const auto count = static_cast<std::size_t>(top.number("virtual_nodes", 1, static_cast<double>(most_virtual), 128, false));
+  read.memory_mb = top.number("virtual_node_memory_mb", 0, 1e9, read.memory_mb, false);
+  read.disk_mb = top.number("virtual_node_disk_mb", 0, 1e12, read.disk_mb, false);
+  if (!root["nodes"] || !root["nodes"].IsSequence() || root["nodes"].size() == 0) top.fail("nodes is not a list");
+  if (!first.empty()) return fault(Kind::invalid, first);
+  if (root["nodes"].size() > most_nodes) return fault(Kind::invalid, "nodes are too many");
+  std::set<std::string> names;
+  for (const YAML::Node& value : root["nodes"]) {
+    if (!value.IsMap()) return fault(Kind::invalid, "nodes[" + std::to_string(read.nodes.size()) + "] is not a map");
+    const std::string name = value["name"] && value["name"].IsScalar() ? value["name"].Scalar() : "";
+    const YamlFields fields{value, "nodes[" + std::to_string(read.nodes.size()) + "] " + name + ": ", first};
+    RingNode node;
+    node.name = fields.text("name");
+    node.locality = fields.text("locality");
+    if (value["region"]) node.region = fields.text("region");
+    node.weight = fields.number("weight", 0.001, 1000, 1, false);
+    node.memory_mb = fields.number("memory_mb", 1, 1e9, 0, true);
+    node.disk_mb = fields.number("disk_mb", 1, 1e12, 0, true);
+    node.disk_mb_s = fields.number("disk_mb_per_s", 0.001, 1e6, 100, false);
+    node.link_mb_s = fields.number("link_mb_per_s", 0.001, 1e6, 100, false);
+    if (!names.insert(node.name).second) fields.fail("name appears twice");
+    read.nodes.push_back(std::move(node));
+  }
+  if (root["sizes"]) {
+    if (!root["sizes"].IsMap()) top.fail("sizes is not a map");
+    else
+      for (const auto& item : root["sizes"]) {
+        const std::string place = "sizes " + (item.first.IsScalar() ? item.first.Scalar() : std::string("?")) + ": ";
+        std::uint32_t virtual_node = 0;
+        const YamlFields fields{item.second, place, first};
+        if (!YAML::convert<std::uint32_t>::decode(item.first, virtual_node) || virtual_node >= count) fields.fail("there is no such virtual node");
+        else if (!item.second.IsMap()) fields.fail("is not a map");
+        else read.sizes[virtual_node] = {fields.number("memory_mb", 0, 1e9, read.memory_mb, false), fields.number("disk_mb", 0, 1e12, read.disk_mb, false)};
+      }
+  }
+  if (!first.empty()) return fault(Kind::invalid, first);
+  for (VirtualNode virtual_node = 0; virtual_node < count; ++virtual_node) {
+    read.owners.push_back(choose_owner(read.nodes, virtual_node));
+    read.points.push_back({digest("virtual node " + std::to_string(virtual_node)), virtual_node});
+  }
+  std::sort(read.points.begin(), read.points.end());
+  return {};
+}
+
+}  // namespace
+
+VirtualNode RingMap::find(std::string_view key) const {
+  const auto place = std::lower_bound(points.begin(), points.end(), std::pair(digest(key), VirtualNode{0}));
+  return place == points.end() ? points.front().second : place->second;
+}
+
+std::size_t RingMap::index_of(const std::string& node) const {
+  const auto found = std::find_if(nodes.begin(), nodes.end(), [&](const RingNode& one) { return one.name == node; });
+  return static_cast<std::size_t>(found - nodes.begin());
+}
+
+std::pair<double, double> RingMap::size_of(VirtualNode virtual_node) const {
+  const auto found = sizes.find(virtual_node);
+  return found == sizes.end() ? std::pair(memory_mb, disk_mb) : found->second;
+}
+
+bool RingMap::key_of(std::string_view path, std::string_view path_start, std::string_view& key) const {
+  path = path.substr(0, path.find('?'));
+  if (!path.starts_with(path_start)) return false;
+  path.remove_prefix(path_start.size());
+  for (std::size_t part = 0; part < key_part; ++part) {
+    const auto slash = path.find('/');
+    if (slash == std::string_view::npos) return false;
+    path.remove_prefix(slash + 1);
+  }
+  key = path.substr(0, path.find('/'));
+  return !key.empty();
+}
+
+Fault read_ring(const std::string& text, RingMap& ring) {
+  try {
+    RingMap read;
+    if (Fault found = read_root(YAML::Load(text), read)) return found;
+    ring = std::move(read);
+    return {};
+  } catch (const std::exception& thrown) {  // the library throws on what is no YAML
+    return fault(Kind::invalid, "the ring file is not proper YAML");
+  }
+}
+
+std::string encode_ring(const RingSheet& sheet) {
+  Writer writer;
+  writer.number(sheet.mark).text(sheet.file).number(sheet.moved.size());
+  for (const auto& [virtual_node, owner] : sheet.moved) writer.number(virtual_node).text(owner);
+  writer.text(sheet.moves);
+  return writer.take();
+}
+
+bool decode_ring(const std::string& bytes, RingSheet& sheet) {
+  ByteReader reader(bytes);
+  sheet = {};
+  sheet.mark = reader.number();
+  sheet.file = reader.text();
+  for (std::uint64_t left = reader.count(16); left > 0; --left) {
+    const auto virtual_node = static_cast<VirtualNode>(reader.number());
+    sheet.moved[virtual_node] = reader.text();
+  }
+  sheet.moves = reader.text();
+  return reader.is_whole();
+}
+
+Fault ring_of(const RingSheet& sheet, RingMap& ring) {
+  if (Fault found = read_ring(sheet.file, ring)) return found;
+  for (const auto& [virtual_node, owner] : sheet.moved)
+    if (const std::size_t index = ring.index_of(owner); index < ring.nodes.size() && virtual_node < ring.owners.size())
+      ring.owners[virtual_node] = static_cast<std::uint32_t>(index);
+  return {};
+}
+
+}  // namespace saddlewing
--- /dev/null
+++ b/src/state/ring.h
@@ -0,0 +1,59 @@
+#pragma once
+// The hash ring: which node owns which key. An operator's file names the nodes; moves change owners one by one.
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "state/error.h"
+#include "state/types.h"
+
+namespace saddlewing {
+
+using VirtualNode = std::uint32_t;
+
+struct RingNode {
+  std::string name;               // a service that the rule's shares allow
+  std::string locality, region;
+  double weight = 1;              // of its share of keys, and of what it is expected to carry
+  double memory_mb = 0, disk_mb = 0;
+  double disk_mb_s = 100, link_mb_s = 100;
+};
+
+// Invariant: `owners` has an entry for every virtual node, an index into `nodes`; `points` rise.
+struct RingMap {
+  Edition edition;
+  std::string rule;               // by name
+  std::size_t key_part = 0;       // which part of the path behind path_start
+  std::vector<RingNode> nodes;
+  double memory_mb = 1, disk_mb = 10;           // of a virtual node
+  std::map<VirtualNode, std::pair<double, double>> sizes;  // of those that differ: memory, disk
+  std::vector<std::uint32_t> owners;
+  std::vector<std::pair<std::uint64_t, VirtualNode>> points;
+
+  VirtualNode find(std::string_view key) const;
+  const RingNode& owner(VirtualNode virtual_node) const { return nodes[owners[virtual_node]]; }
+  std::size_t index_of(const std::string& node) const;  // nodes.size(): none
+  std::pair<double, double> size_of(VirtualNode virtual_node) const;
+  // The part of a path that is the key; false if it has none.
+  bool key_of(std::string_view path, std::string_view path_start, std::string_view& key) const;
+};
+
+// Reads the operator's YAML whole. The fault names field and node.
+Fault read_ring(const std::string& text, RingMap& ring);
+
+// What the registries agree on: the file, and who owns otherwise than it says.
+struct RingSheet {
+  std::uint64_t mark = 0;
+  std::string file;
+  std::map<VirtualNode, std::string> moved;
+  std::string moves;  // see coordination/ring_moves.h
+};
+inline constexpr const char* ring_sheet = "ring";
+std::string encode_ring(const RingSheet& sheet);
+bool decode_ring(const std::string& bytes, RingSheet& sheet);
+// The map in force by a sheet; owners that are no nodes any more fall back to what the file says.
+Fault ring_of(const RingSheet& sheet, RingMap& ring);
+
+}  // namespace saddlewing
--- a/src/state/startup.h
+++ b/src/state/startup.h
@@ -49,7 +49,7 @@
   Span listing{500}, follow{400};       // platform list; broker's beat to the registries
   Span rollout_wait{400};               // a new edition waits this long for brokers that do not hold it yet
   std::string alert_rules;              // path of a file; empty: none
-  Span lead_hold{4000};                 // how long a pooler may use the leads it was told of
+  Span lead_hold{3000};                 // how long a pooler may use the leads it was told of
   Span unconfirmed_wait{2000};          // then a broker serves by what any registry holds committed
 };
 
