--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,16 +15,35 @@
   return 2;
 }
 
+bool read_contacts(const cxxopts::ParseResult& read, std::vector<std::string>& contacts, int& wait, std::string& complaint) {
+  if (!read.count("contact")) return complaint = "it needs a --contact", false;
+  contacts = read["contact"].as<std::vector<std::string>>();
+  saddlewing::Address address;
+  for (const std::string& contact : contacts)
+    if (!saddlewing::parse_address(contact, address)) return complaint = contact + " is not an address (host:port, host in dots)", false;
+  wait = read["wait-ms"].as<int>();
+  if (wait < 1 || wait > 600000) return complaint = "wait-ms is out of range", false;
+  return true;
+}
+
+int ring(const cxxopts::Options& options, const cxxopts::ParseResult& read, const std::vector<std::string>& words) {
+  const std::string verb = words.empty() ? "" : words[0];
+  const std::size_t wanted = verb == "report" || verb == "propose" || verb == "status" ? 1 : verb == "apply" || verb == "undo" ? 2 : verb == "move" ? 3 : 0;
+  if (!wanted || words.size() != wanted) return usage(options, "ring takes report, propose, status, apply FILE, move VIRTUAL-NODE RECEIVER or undo MOVE");
+  std::vector<std::string> contacts;
+  int wait = 0;
+  std::string complaint;
+  if (!read_contacts(read, contacts, wait, complaint)) return usage(options, "ring: " + complaint);
+  return saddlewing::run_ring(words, contacts, read.count("json") > 0, wait);
+}
+
 int trace(const cxxopts::Options& options, const cxxopts::ParseResult& read, const std::vector<std::string>& words) {
   if (words.size() != 1 || words[0].empty() || words[0].size() > 18 || words[0].find_first_not_of("0123456789") != std::string::npos)
     return usage(options, "tracer takes one edition, a whole number");
-  if (!read.count("contact")) return usage(options, "tracer needs a --contact");
-  const auto contacts = read["contact"].as<std::vector<std::string>>();
-  saddlewing::Address address;
-  for (const std::string& contact : contacts)
-    if (!saddlewing::parse_address(contact, address)) return usage(options, contact + " is not an address (host:port, host in dots)");
-  const int wait = read["wait-ms"].as<int>();
-  if (wait < 1 || wait > 600000) return usage(options, "wait-ms is out of range");
+  std::vector<std::string> contacts;
+  int wait = 0;
+  std::string complaint;
+  if (!read_contacts(read, contacts, wait, complaint)) return usage(options, "tracer: " + complaint);
   return saddlewing::run_tracer(std::stoll(words[0]), contacts, read.count("json") > 0, wait);
 }
 
@@ -37,14 +56,15 @@
                            "  pooler          carry database sessions\n"
                            "  registry        keep the configuration and the registry of backends\n"
                            "  tracer EDITION  follow one change of the configuration through all nodes\n"
-                           "  check FILE      check a startup or a configuration\n");
+                           "  ring WHAT       the hash ring: report, propose, status, apply FILE, move VIRTUAL-NODE RECEIVER, undo MOVE\n"
+                           "  check FILE      check a startup, a configuration or a ring file\n");
   options.positional_help("COMMAND [FILE | EDITION]");
   options.add_options()("h,help", "print this help")("version", "print the version")(
       "startup", "startup file (else SADDLEWING_NODE_FILE names it)", cxxopts::value<std::string>())(
-      "contact", "tracer: inner address of a node; may be given more than once", cxxopts::value<std::vector<std::string>>())(
-      "json", "tracer: print JSON")("wait-ms", "tracer: how long to wait for answers", cxxopts::value<int>()->default_value("2000"))(
-      "command", "broker, pooler, registry, tracer or check", cxxopts::value<std::string>())(
-      "file", "check: the file; tracer: the edition", cxxopts::value<std::vector<std::string>>());
+      "contact", "tracer, ring: inner address of a node; may be given more than once", cxxopts::value<std::vector<std::string>>())(
+      "json", "tracer, ring: print JSON")("wait-ms", "tracer, ring: how long to wait for answers", cxxopts::value<int>()->default_value("2000"))(
+      "command", "broker, pooler, registry, tracer, ring or check", cxxopts::value<std::string>())(
+      "file", "check: the file; tracer: the edition; ring: what to do", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"command", "file"});
   cxxopts::ParseResult read;
   try {
@@ -68,6 +88,7 @@
     return saddlewing::run_check(files[0]);
   }
   if (command == "tracer") return trace(options, read, files);
+  if (command == "ring") return ring(options, read, files);
   if (command != "broker" && command != "pooler" && command != "registry") return usage(options, "unknown command " + command);
   if (!files.empty()) return usage(options, command + " takes no file");
   const char* told = std::getenv("SADDLEWING_NODE_FILE");
--- a/src/programs/broker_program.cpp
+++ b/src/programs/broker_program.cpp
@@ -21,6 +21,8 @@
   Traffic traffic(startup, life);
   Follower follower(startup, life, [&traffic](ViewCapture view) { traffic.show(std::move(view)); },
                     [&traffic](AidEvent event) { traffic.tell(std::move(event)); });
+  follower.set_ring([&traffic](RingNews news) { traffic.turn_ring(std::move(news)); });
+  traffic.set_follower(follower);
   traffic.set_sender([&follower](AidOut out) { return follower.send(std::move(out)); });
   for (const Fault& found : {follower.open(), traffic.open()})
     if (found) {
--- a/src/programs/check_program.cpp
+++ b/src/programs/check_program.cpp
@@ -1,4 +1,4 @@
-// saddlewing check FILE: a startup or a configuration, told apart by their fields.
+// saddlewing check FILE: a startup or a configuration, told apart by their fields, or a ring file (.yaml).
 #include <json/json.h>
 
 #include <fstream>
@@ -7,6 +7,7 @@
 
 #include "programs/programs.h"
 #include "state/configuration.h"
+#include "state/ring.h"
 #include "state/startup.h"
 
 namespace saddlewing {
@@ -19,6 +20,15 @@
   }
   std::ostringstream text;
   text << file.rdbuf();
+  if (path.ends_with(".yaml") || path.ends_with(".yml")) {
+    RingMap ring;
+    if (Fault found = read_ring(text.str(), ring)) {
+      std::cerr << path << ": " << found.text() << "\n";
+      return 1;
+    }
+    std::cout << path << ": a proper ring file\n";
+    return 0;
+  }
   Json::Value root;
   std::string reason;
   if (!read_json(text.str(), root, reason) || !root.isObject()) {
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -61,7 +61,7 @@
       ready_server_(poller_, schedule_, readiness_, 64, 1 << 20), views_(64, [this] { poller_.wake(); }),
       picker_({startup.locality, startup.region}, life.value),
       draw_(static_cast<std::uint32_t>(life.value)), aid_events_(4096, [this] { poller_.wake(); }), life_(life),
-      alert_rules_(4, [this] { poller_.wake(); }) {}
+      ring_news_(64, [this] { poller_.wake(); }), alert_rules_(4, [this] { poller_.wake(); }) {}
 
 Fault Traffic::open() {
   if (Fault found = ready_server_.open(startup_.ready_check)) return found;
@@ -80,6 +80,7 @@
       alerts_.replace(std::move(rules));
       if (!alerts_.is_empty()) alert_clock_.on_due(now);
     }
+    for (RingNews& news : ring_news_.take()) take_ring(std::move(news), now);
     for (AidEvent& event : aid_events_.take()) take_aid_event(event, now);
     schedule_.run(now);
     server_.reap();
@@ -172,11 +173,14 @@
   auto trip = std::make_shared<Trip>(*this, visit.id());
   trip->try_id = request.get(field::try_id, "");
   if (trip->try_id.empty()) return visit.answer(reply_of(Kind::malformed, "a request needs its Try-Id"), now);
+  std::optional<ServiceIndex> placed;
+  if (gate_.view() && rule->name == gate_.view()->map.rule && !place(visit, *rule, *trip, placed, now)) return;
   trip->method = request.getMethod();
   trip->head_start = start_head(request, visit.body().size());
   trip->body = std::move(visit.body());
   const Span time_left = parse_time_left(request.get(field::time_left, ""), rule->give_up);
   auto errand = std::make_unique<Errand>(*this, table_, *rule, visit.began(), time_left);
+  if (placed) errand->choose(*placed);
   trip->errand = errand.get();
   trip->asker = std::move(errand);
   trips_[trip->errand] = trip;
@@ -192,6 +196,7 @@
 }
 
 void Traffic::on_gone(Visit& visit) {
+  parked_.erase(visit.id());
   const auto found = by_visit_.find(visit.id());
   if (found == by_visit_.end()) return;
   Errand* errand = found->second;
@@ -205,6 +210,7 @@
   const auto found = trips_.find(asker);
   if (found == trips_.end()) return;
   schedule_.drop(*found->second);
+  if (found->second->place) leave_place(*found->second, Clock::now());
   ended_trips_.push_back(std::move(found->second));
   trips_.erase(found);
   if (const auto token = aid_tokens_.find(asker); token != aid_tokens_.end()) {
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -27,6 +27,11 @@
   std::string route;  // of an aid: whom to answer
   std::unique_ptr<Asker> asker;
   Errand* errand = nullptr;  // the asker of a visit
+  // Of a request that the ring places:
+  std::optional<std::pair<VirtualNode, std::uint32_t>> place;  // virtual node and owner
+  bool is_risky = false;
+  Moment began{};
+  Span target{0};
   std::string method, try_id, head_start, body;  // head_start: the request's head but for what differs by backend
   void on_due(Moment now) override;
 };
@@ -72,6 +77,8 @@
   // Rules from now on; a wrong file is logged and the rules before it stay.
   void read_alerts(const std::string& path);
   void set_sender(std::function<bool(AidOut)> send) { send_ = std::move(send); }
+  void set_follower(Follower& follower) { follower_ = &follower; }
+  void turn_ring(RingNews news) { ring_news_.push(std::move(news)); }
   void leave() {
     should_leave_ = true;
     poller_.wake();
@@ -109,6 +116,18 @@
   void run();
   void take_view(ViewCapture view, Moment now);
   void take_aid(AidIn& in, Moment now);
+  // A request that may run once and has to wait for a move of its key; in the end it is told to come back.
+  struct Parked final : Scheduled {
+    explicit Parked(Traffic& traffic) : traffic(traffic) {}
+    Traffic& traffic;
+    VisitId visit;
+    void on_due(Moment now) override;
+  };
+  // False: it was parked or refused.
+  bool place(Visit& visit, const Rule& rule, Trip& trip, std::optional<ServiceIndex>& service, Moment now);
+  void take_ring(RingNews news, Moment now);
+  void leave_place(const Trip& trip, Moment now);
+  void report_ring();
   bool is_near(const Backend& backend, const std::string& region, Moment now) const;
   void end_trip(const Asker* asker);
   void arrange(Trip& trip);
@@ -166,6 +185,12 @@
   std::unordered_map<Wire*, std::unique_ptr<Wire>> wires_;
   std::vector<std::unique_ptr<Wire>> graves_;
   std::vector<TripPointer> ended_trips_;
+  Follower* follower_ = nullptr;
+  Ring<RingNews> ring_news_;
+  RingGate gate_;
+  RingCounts ring_counts_;
+  Moment ring_reported_{};
+  std::map<VisitId, std::unique_ptr<Parked>> parked_;
   Ring<std::vector<AlertRule>> alert_rules_;
   Alerts alerts_;
   AlertClock alert_clock_{*this};
