--- /dev/null
+++ b/tests/session_test.cpp
@@ -0,0 +1,178 @@
+// Sessions and the pool, against stand-in databases.
+#include "database_stage.h"
+
+using namespace saddlewing;
+using namespace saddlewing::tests;
+
+Test(wire, a_message_cut_anywhere_reads_the_same) {
+  const std::string whole = wire(WireKind::ask, {"id", "READ a"}) + wire(WireKind::ready, {"I", "3.12"});
+  for (std::size_t cut = 0; cut <= whole.size(); ++cut) {
+    std::string bytes = whole.substr(0, cut);
+    std::vector<WireMessage> read;
+    for (const std::string& more : {std::string(), whole.substr(cut)}) {
+      bytes += more;
+      for (WireMessage message; read_wire(bytes, message) == WireStep::done;) read.push_back(message);
+    }
+    cr_assert(read.size() == 2 && read[0].field(1) == "READ a" && read[1].field(1) == "3.12", "cut at %zu", cut);
+  }
+}
+
+Test(wire, what_is_no_message_is_told_apart) {
+  WireMessage message;
+  std::string unknown = "Jabcdef", torn("Q\0\0\0\3abc", 8), large("Q\0\x10\0\1", 5);
+  cr_expect(read_wire(unknown, message) == WireStep::garbled);
+  cr_expect(read_wire(torn, message) == WireStep::garbled, "a field without its end");
+  cr_expect(read_wire(large, message) == WireStep::too_long);
+  cr_expect(read_statement("NAME n SELECT x").verb == Verb::none);
+  cr_expect(read_statement("BEGIN WORK").verb == Verb::none);
+  cr_expect(read_statement("RUN n").verb == Verb::none);
+}
+
+Test(session, unknown_databases_and_wrong_order_end_it_by_name) {
+  SessionStage stage;
+  SessionStage::Client stranger(stage), hasty(stage), proper(stage);
+  stage.start(stranger, "nobody");
+  cr_expect(stranger.verdict() == "NODB" && stranger.is_closed);
+  stage.give(hasty, wire_ask("a", "READ x"));
+  cr_expect(hasty.verdict() == "GARBLED" && hasty.is_closed);
+  stage.start(proper);
+  for (const char* text : {"SAVE", "UNDO", "AFTER 3.1 READ x", "CLEAR", "STATUS", "what"}) {
+    stage.say(proper, text);
+    cr_expect(proper.verdict() == "GARBLED" && proper.last().field(0) == "I", "%s", text);
+  }
+  cr_expect(stage.databases["leader"].messages == 0, "none of it reached the database");
+}
+
+Test(session, values_and_names_are_those_of_its_client) {
+  SessionStage stage;
+  SessionStage::Client first(stage), second(stage);
+  stage.start(first);
+  stage.start(second);
+  stage.say(first, "SET colour red");
+  stage.say(first, "NAME s1 READ q");
+  stage.say(second, "SET size 5");
+  stage.say(second, "NAME s1 WRITE q");
+  for (int round = 0; round < 3; ++round) {
+    stage.say(first, "RUN s1 tank");
+    cr_assert(first.verdict().empty());
+    cr_expect(stage.databases["leader"].reads.back().second == Values({{"colour", "red"}}));
+    stage.say(second, "RUN s1 tank full");
+    cr_assert(second.verdict().empty());
+    stage.say(second, "READ other");
+    cr_expect(stage.databases["leader"].reads.back().second == Values({{"size", "5"}}));
+  }
+  cr_expect(stage.databases["leader"].log.size() == 3);
+  cr_expect(stage.opened == 1, "one connection serves both");
+}
+
+Test(session, a_transaction_keeps_its_connection_and_others_wait) {
+  SessionStage stage;
+  SessionStage::Client first(stage), second(stage);
+  stage.start(first);
+  stage.start(second);
+  stage.say(first, "BEGIN");
+  cr_expect(stage.opened == 0, "nothing is taken before the first statement");
+  stage.say(first, "WRITE a 1");
+  cr_expect(first.last().field(0) == "T");
+  stage.say(second, "WRITE b 1");
+  cr_expect(second.heard.empty() && second.session->state() == Session::State::seeking);
+  stage.say(first, "SAVE");
+  cr_expect(first.verdict().empty() && first.last().field(0) == "I");
+  cr_expect(second.verdict().empty(), "it came next");
+  cr_expect(stage.databases["leader"].log.size() == 2 && stage.opened == 1);
+}
+
+Test(session, a_client_that_leaves_or_rests_too_long_is_rolled_back) {
+  SessionStage stage;
+  SessionStage::Client resting(stage), leaving(stage), next(stage);
+  for (auto* client : {&resting, &leaving, &next}) stage.start(*client);
+  stage.say(resting, "BEGIN");
+  stage.say(resting, "WRITE a 1");
+  cr_assert(resting.due != Moment::max());
+  resting.session->on_due(resting.due);
+  stage.pump();
+  stage.say(leaving, "BEGIN");
+  stage.say(leaving, "WRITE b 1");
+  leaving.session->leave(Clock::now());
+  stage.pump();
+  stage.say(next, "WRITE c 1");
+  cr_expect(next.verdict().empty());
+  stage.say(resting, "WRITE a 2");
+  cr_expect(resting.verdict() == "UNDONE" && resting.last().field(0) == "E");
+  stage.say(resting, "SAVE");
+  cr_expect(resting.verdict() == "UNDONE" && resting.last().field(0) == "I");
+  cr_expect(stage.databases["leader"].log.size() == 1 && stage.opened == 1);
+}
+
+// Every message to the database in turn: the connection ends before it, after it, or within its answer.
+Test(session, with_any_message_lost_promises_hold_and_nothing_lands_twice) {
+  const std::vector<std::string> script = {"SET colour red", "NAME w WRITE q", "RUN w a 1", "BEGIN", "RUN w b 1", "READ b", "SAVE", "READ c", "WRITE d 1"};
+  for (const auto fault : {StandIn::Fault::cut_before, StandIn::Fault::cut_after, StandIn::Fault::lose_answer})
+    for (int strike = 1; strike < 24; ++strike) {
+      SessionStage stage;
+      SessionStage::Client client(stage);
+      stage.databases["leader"].strike_at = strike;
+      stage.databases["leader"].fault = fault;
+      stage.start(client);
+      std::map<std::string, std::string> told;  // by thing: what the client was told of its commit
+      for (const std::string& text : script) {
+        stage.say(client, text);
+        cr_assert(client.last().kind == WireKind::ready, "%s unanswered, strike %d", text.c_str(), strike);
+        const std::string verdict = client.verdict();
+        if (text == "RUN w a 1") told["a 1"] = verdict;
+        if (text == "SAVE") told["b 1"] = verdict;
+        if (text == "WRITE d 1") told["d 1"] = verdict;
+      }
+      for (const auto& [thing, verdict] : told) {
+        int landed = 0;
+        for (const std::string& line : stage.databases["leader"].log) landed += line.ends_with(" " + thing);
+        cr_expect(landed <= 1, "%s landed %d times, strike %d", thing.c_str(), landed, strike);
+        if (verdict.empty()) cr_expect(landed == 1, "%s was acknowledged and is not there, strike %d", thing.c_str(), strike);
+        if (verdict == "UNDONE" || verdict == "BUSY") cr_expect(landed == 0, "%s was promised away and is there, strike %d", thing.c_str(), strike);
+      }
+      for (const auto& [thing, values] : stage.databases["leader"].reads) cr_expect(values == Values({{"colour", "red"}}));
+      cr_expect(client.last().field(0) == "I");
+    }
+}
+
+Test(session, without_a_hold_nothing_is_sent_and_no_outcome_is_told) {
+  SessionStage stage;
+  SessionStage::Client client(stage);
+  stage.start(client);
+  stage.has_hold = false;
+  stage.say(client, "WRITE a 1");
+  cr_expect(client.heard.empty() && stage.waiting.size() == 1 && stage.opened == 0);
+  client.session->on_due(client.due);
+  cr_expect(client.verdict() == "BUSY", "a promise, as nothing left");
+  // The hold ends while the outcome is on its way.
+  stage.has_hold = true;
+  WireMessage message;
+  std::string bytes = wire_ask("t", "WRITE b 1");
+  read_wire(bytes, message);
+  client.heard.clear();
+  client.session->take(std::move(message), Clock::now());
+  for (int round = 0; round < 2 && stage.databases["leader"].log.empty(); ++round) stage.pump();
+  cr_expect(stage.databases["leader"].log.size() == 1 && client.verdict().empty());
+  bytes = wire_ask("u", "WRITE c 1");
+  read_wire(bytes, message);
+  client.heard.clear();
+  client.session->take(std::move(message), Clock::now());
+  stage.has_hold = false;
+  stage.pump();
+  cr_expect(client.verdict() == "UNKNOWN");
+}
+
+Test(session, a_read_that_may_be_old_goes_to_a_copy_that_has_enough) {
+  SessionStage stage;
+  SessionStage::Client client(stage);
+  stage.start(client, "reports");
+  stage.databases["copy"].number = 7;
+  stage.after = {1, 7};
+  stage.say(client, "READ a");
+  cr_expect(client.verdict().empty() && stage.databases["copy"].reads.size() == 1);
+  stage.after = {1, 8};
+  stage.say(client, "READ a");
+  cr_expect(client.verdict() == "LAGGING" && stage.databases["copy"].reads.size() == 1);
+  stage.say(client, "WRITE a 1");
+  cr_expect(client.verdict().empty() && stage.databases["leader"].log.size() == 1, "writes go to the leader");
+}
