Brokers keep connections to a choice of backends, not to all

Cause: each broker kept a connection to each backend in use, and opened it anew at once when it ended.

--- a/src/coordination/backend.cpp
+++ b/src/coordination/backend.cpp
@@ -1,6 +1,7 @@
 #include "coordination/backend.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace saddlewing {
 namespace {
@@ -8,6 +9,8 @@
 constexpr double guess_ms = 20;                        // of a backend not heard yet
 constexpr double locality_ms = 3, region_ms = 40;      // what bytes across them are taken to cost, beyond their time
 constexpr double load_fades_ms = 300;
+constexpr double other_ms = 4, scarce_ms = 60;         // against those that are not one's own
+constexpr std::size_t most_own = 2;
 
 }  // namespace
 
@@ -20,9 +23,27 @@
   if (now < backend.warm_until) cost *= 1.5;
   if (backend.region != place_.region) cost += region_ms;
   else if (backend.locality != place_.locality) cost += locality_ms;
+  if (!backend.is_own) cost += backend.is_scarce ? scarce_ms : other_ms;
   return cost;
 }
 
+void choose_own(const std::vector<BackendPointer>& backends, const PickPlace& place, const std::string& address, int most_connections, int brokers) {
+  using Rank = std::tuple<int, std::size_t, Backend*>;
+  std::vector<Rank> ranks;
+  for (const BackendPointer& backend : backends) {
+    const int way = backend->locality == place.locality ? 0 : backend->region == place.region ? 1 : 2;
+    ranks.emplace_back(way, std::hash<std::string>{}(address + backend->id), backend.get());
+  }
+  std::sort(ranks.begin(), ranks.end());
+  const double part = static_cast<double>(most_connections) * static_cast<double>(backends.size()) / std::max(1, brokers);
+  const std::size_t own = std::clamp<std::size_t>(static_cast<std::size_t>(part), 1, most_own);
+  for (std::size_t index = 0; index < ranks.size(); ++index) {
+    Backend& backend = *std::get<2>(ranks[index]);
+    backend.is_own = index < own;
+    backend.is_scarce = most_connections < brokers;
+  }
+}
+
 PickResult Picker::pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried,
                         int most_connections, Moment now) {
   PickResult result;
--- a/src/coordination/backend.h
+++ b/src/coordination/backend.h
@@ -48,6 +48,9 @@
 
   int asked = 0;              // own requests at work there
   int connections = 0;
+  bool is_own = true;         // of those this broker keeps connections to; see choose_own
+  bool is_scarce = false;     // its connections do not suffice for every broker: others than its own use it for a moment only
+  Moment warm_after{};        // no connection is opened in advance before
   double foreign_load = 0;    // requests of others there, as last told
   Moment load_seen{};
   double mean_ms = 0;         // of its outcomes; 0: none yet
@@ -71,6 +74,11 @@
   std::string locality, region;
 };
 
+// Of one service's backends, those that the broker of this address keeps to: the nearest, and among them a choice that
+// differs by broker, as many as its part of all the connections allowed makes up (at least one). So the connections kept
+// grow with the traffic's parts, not with brokers times backends.
+void choose_own(const std::vector<BackendPointer>& backends, const PickPlace& place, const std::string& address, int most_connections, int brokers);
+
 struct PickResult {
   Backend* backend = nullptr;
   bool is_full = false;  // somebody could serve, but every connection allowed is in use
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -13,6 +13,7 @@
 
 constexpr Span still_chosen{2500};  // after SIGTERM the platform may go on sending for two missed checks
 constexpr Span warm_span{8000};     // how long a connection is kept before its first asking
+constexpr Span warm_pause{3000};    // between connections opened in advance to one backend
 constexpr Span before_end{700};     // of the grace, kept for the end itself
 
 Span parse_time_left(const std::string& text, Span otherwise) {
@@ -148,8 +149,13 @@
   for (const auto& [name, backends] : by_name_)
     if (const auto found = indices.find(name); found != indices.end()) table->by_service[found->second] = backends;
   table_ = std::move(table);
-  for (const auto& backends : table_->by_service)
+  const std::string address = Address{startup_.ip_address, startup_.own_port}.text();
+  for (std::size_t index = 0; index < table_->by_service.size(); ++index) {
+    const auto& backends = table_->by_service[index];
+    choose_own(backends, {startup_.locality, startup_.region}, address, table_->configuration->services[index].most_connections * 4 / 5,
+               static_cast<int>(std::max<std::uint64_t>(1, view_->brokers)));
     for (const BackendPointer& backend : backends) keep_warm(backend);
+  }
   const Limits& limits = table_->configuration->limits;
   server_.set_limits({limits.most_header_bytes, limits.most_body_bytes, limits.header_wait, limits.quiet});
 }
@@ -283,14 +289,16 @@
 // One connection to each backend in use stays open: a further asking far away must not wait for a handshake.
 void Traffic::keep_warm(const BackendPointer& backend) {
   const auto usual = by_name_.find(backend->service);
-  if (backend->is_cancelled || backend->connections > 0 || usual == by_name_.end() || is_leaving_ || !table_) return;
+  const Moment now = Clock::now();
+  if (backend->is_cancelled || backend->connections > 0 || !backend->is_own || now < backend->warm_after || usual == by_name_.end() || is_leaving_ || !table_) return;
   const auto& services = table_->configuration->services;
   if (std::none_of(services.begin(), services.end(), [&](const Service& service) { return service.name == backend->service; })) return;
   auto fresh = std::make_unique<Wire>(*this, backend);
   Wire* wire = fresh.get();
   wires_[wire] = std::move(fresh);
+  backend->warm_after = now + warm_pause;  // one that ends at once is not opened again and again
   if (wire->is_ended()) return bury(wire);
-  wire->rest(Clock::now(), warm_span);
+  wire->rest(now, warm_span);
 }
 
 void Traffic::bury(Wire* wire) {
--- a/src/programs/wire.cpp
+++ b/src/programs/wire.cpp
@@ -13,6 +13,7 @@
 constexpr Span connect_wait{250};
 constexpr Span past_cutoff{100};       // how long an asking is still waited for after its errand's cutoff
 constexpr Span longest_idle{10000};
+constexpr Span borrowed_idle{300};     // of a connection that others need as well
 constexpr double stalled_times = 6;    // so many times the usual, and at least stalled_least: it stalls
 constexpr Span stalled_least{300};
 
@@ -133,7 +134,7 @@
   if (is_ended() || backend_->is_cancelled || idle <= Span(0)) {
     traffic_.bury(this);
   } else {
-    rest(now, idle);
+    rest(now, backend_->is_own || !backend_->is_scarce ? idle : std::min(idle, borrowed_idle));
   }
   trip->asker->take_outcome(part, std::move(outcome), took, now);
   traffic_.arrange(*trip);
