--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -212,7 +212,7 @@
   source.is_filled = beat.is_filled;
   if (beat.is_confirmed) {
     registries_ = beat.registries;
-    if (beat.seats_mark != seats_mark_ && (beat.seats_mark == 0 || !beat.seats.empty())) take_seats(beat);
+    if (source.is_feed && beat.seats_mark != seats_mark_ && (beat.seats_mark == 0 || !beat.seats.empty())) take_seats(beat);
     if (beat.brokers != brokers_) {
       brokers_ = std::max<std::uint64_t>(1, beat.brokers);
       has_news_ = true;
