--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -166,6 +166,7 @@
   Case& at = cases_[lead.service];
   if (at.was_raised && now - at.raised < options_.late_raise) return;  // an earlier call may still take effect
   const DatabaseSeat* old = seat_of(seats, lead.id);
+  if (at.asked_since == Moment{}) at.asked_since = now;
   if (now >= at.step_due) {
     at.step_due = now + options_.ask_again;
     for (const DatabaseSeat* seat : seats)
@@ -204,7 +205,7 @@
     next.phase = Lead::Phase::led;
     return change(std::move(next), lead.service + " is led by " + lead.id + " as before");
   }
-  const Span waited = span_between(at.since, now);
+  const Span waited = span_between(at.asked_since, now);
   const bool is_complete = answered == copies;
   const bool has_all = best && was && best_status.place >= was->place;
   if (was && best && !has_all && waited < most_catching_up) return;  // it is there, and a copy will catch up
--- a/src/coordination/failover.h
+++ b/src/coordination/failover.h
@@ -72,7 +72,7 @@
     std::string locality, failing, fine;
   };
   struct Case {  // of one service under change; forgotten with the lead of the core
-    Moment since{}, step_due{}, raised{};
+    Moment since{}, asked_since{}, step_due{}, raised{};  // asked_since: of the databases
     std::map<std::string, DatabaseStatus> statuses;
     std::set<std::string> asked;
     bool was_raised = false, is_refused = false, is_taken = false;
