--- a/src/coordination/failover.cpp
+++ b/src/coordination/failover.cpp
@@ -96,13 +96,13 @@
   if (!lead) return found(service, seats);
   Case& at = cases_[service];
   if (at.number != lead->number) {
-    const bool was_raised = at.was_raised && lead->phase == Lead::Phase::closing;
+    const bool was_raised = at.was_raised, is_asking = at.is_asking;
     const Moment raised = at.raised;
     at = {};
     at.number = lead->number;
     at.since = now;
     at.phase = lead->phase;
-    if (was_raised) at.was_raised = true, at.raised = raised;
+    if (lead->phase != Lead::Phase::raising) at.was_raised = was_raised, at.raised = raised, at.is_asking = is_asking;
   }
   switch (lead->phase) {
     case Lead::Phase::led: return watch(*lead, seats, now);
@@ -128,6 +128,7 @@
 
 void Failover::watch(const Lead& lead, const Seats& seats, Moment now) {
   const DatabaseSeat* leader = seat_of(seats, lead.id);
+  Case& at = cases_[lead.service];
   // Others that say they lead missed the change.
   for (const DatabaseSeat* seat : seats) {
     if (seat->id == lead.id || !seat->is_leader || !terms_.contains(lead.service)) continue;
@@ -150,13 +151,21 @@
   next.is_planned = false;
   if (now - led_since_ < options_.beat_every * 2) return;  // beats may have gone elsewhere
   const Span silent = leader ? span_between(leader->beaten, now) : options_.beat_every * 100;
+  if (silent <= options_.beat_every * 3 / 2) {
+    // It is there. Only if it says at length that it does not lead is it none.
+    if (!leader->is_leader && now - at.since > options_.beat_every * 3) change(std::move(next), lead.service + ": " + lead.id + " says that it does not lead");
+    return;
+  }
+  // Beats may go elsewhere: it is asked itself, and poolers say what they saw.
+  if (leader && now >= at.step_due && at.asked.insert(lead.id).second) {
+    at.step_due = now + options_.ask_again * 4;
+    ask(lead.service, lead.id, "STATUS", false);
+  }
+  const bool is_answering = at.answered != Moment{} && now - at.answered < options_.beat_every * 2;
   const auto place = static_cast<std::size_t>(table_.find(lead.service) - table_.leads.data());
   bool is_unseen = false;
   const bool is_given_up = this->is_given_up(place, now, is_unseen);
-  const bool is_silent = silent > options_.beat_every * 3 / 2;
-  const bool is_long_silent = silent > options_.beat_every * 3 && is_unseen;
-  if ((is_silent && is_given_up) || is_long_silent || (leader && !leader->is_leader && now - leader->beaten < options_.beat_every))
-    change(std::move(next), lead.service + " lost its leader " + lead.id);
+  if (is_given_up || (is_unseen && !is_answering && silent > options_.beat_every * 4)) change(std::move(next), lead.service + " lost its leader " + lead.id);
 }
 
 // Nobody may use the old leader any more. Once no pooler can, the logs are compared: what was acknowledged by then does
@@ -164,7 +173,7 @@
 void Failover::close(const Lead& lead, int sync, const Seats& seats, Moment now) {
   if (holders_.is_held(lead.mark, now)) return;
   Case& at = cases_[lead.service];
-  if (at.was_raised && now - at.raised < options_.late_raise) return;  // an earlier call may still take effect
+  if (at.is_asking || (at.was_raised && now - at.raised < options_.late_raise)) return;  // an earlier call may still take effect
   const DatabaseSeat* old = seat_of(seats, lead.id);
   if (at.asked_since == Moment{}) at.asked_since = now;
   if (now >= at.step_due) {
@@ -238,8 +247,8 @@
   }
   if (now < at.step_due) return;
   at.step_due = now + options_.ask_again;
-  if (!at.was_raised || now - at.raised >= (at.is_taken ? raise_taken : raise_again)) {
-    at.was_raised = true;
+  if (!at.is_asking && (!at.was_raised || now - at.raised >= (at.is_taken ? raise_taken : raise_again))) {
+    at.was_raised = at.is_asking = true;
     at.raised = now;
     pending_[++last_token_] = {lead.service, lead.target, false};
     output_.raises.push_back({last_token_, lead.service, lead.target});
@@ -247,7 +256,7 @@
   if (at.asked.insert(lead.target).second) ask(lead.service, lead.target, "STATUS", false);
 }
 
-void Failover::finish_order(std::uint64_t token, std::optional<DatabaseStatus> status, Moment) {
+void Failover::finish_order(std::uint64_t token, std::optional<DatabaseStatus> status, Moment now) {
   const auto found = pending_.find(token);
   if (found == pending_.end()) return;
   const Pending pending = found->second;
@@ -255,13 +264,17 @@
   if (pending.is_step_down) return;
   Case& at = cases_[pending.service];
   at.asked.erase(pending.id);
-  if (status) at.statuses[pending.id] = *status;
+  if (!status) return;
+  at.statuses[pending.id] = *status;
+  at.answered = now;
 }
 
-void Failover::finish_raise(std::uint64_t token, int status, Moment) {
+void Failover::finish_raise(std::uint64_t token, int status, Moment now) {
   const auto found = pending_.find(token);
   if (found == pending_.end()) return;
   Case& at = cases_[found->second.service];
+  at.is_asking = false;
+  at.raised = now;  // until here it may have been on its way
   if (status == 409) at.is_refused = true;
   at.is_taken = status == 200;
   pending_.erase(found);
--- a/src/coordination/failover.h
+++ b/src/coordination/failover.h
@@ -73,9 +73,10 @@
   };
   struct Case {  // of one service under change; forgotten with the lead of the core
     Moment since{}, asked_since{}, step_due{}, raised{};  // asked_since: of the databases
+    Moment answered{};  // when a database last answered
     std::map<std::string, DatabaseStatus> statuses;
     std::set<std::string> asked;
-    bool was_raised = false, is_refused = false, is_taken = false;
+    bool was_raised = false, is_refused = false, is_taken = false, is_asking = false;  // is_asking: a call of duty is under way
     std::uint64_t number = 0;  // of the lead it belongs to
     Lead::Phase phase{};
     std::uint64_t term_before = 0;
--- a/src/programs/envoy.cpp
+++ b/src/programs/envoy.cpp
@@ -10,7 +10,7 @@
 namespace saddlewing {
 namespace {
 
-constexpr Span database_wait{600}, platform_wait{3000};
+constexpr Span database_wait{600}, platform_wait{2500};
 
 }  // namespace
 
@@ -121,7 +121,7 @@
 }
 
 void Envoy::Errand::on_due(Moment) {
-  if (caller) caller->end();
+  if (caller) caller->abort();
   envoy.finish(*this, 0);
 }
 void Envoy::Errand::on_outcome(Caller& from, Moment) { envoy.finish(*this, from.reader().response().getStatus()); }
--- a/src/transport/caller.cpp
+++ b/src/transport/caller.cpp
@@ -22,6 +22,11 @@
   channel_ = Channel();
 }
 
+void Caller::abort() {
+  if (state_ != State::ended) channel_.reset_at_close();
+  end();
+}
+
 bool Caller::ask(const std::string& bytes, bool is_head, const std::string& try_id) {
   if (state_ == State::ended) return false;
   try_id_ = try_id;
--- a/src/transport/caller.h
+++ b/src/transport/caller.h
@@ -35,6 +35,7 @@
   bool has_heard() const { return has_heard_; }    // any byte of the outcome came
   bool was_connected() const { return was_connected_; }
   void end();
+  void abort();  // ends it so that nothing of the request arrives later
 
   void on_ready(bool is_readable, bool is_writable) override;
 
--- a/src/transport/channel.cpp
+++ b/src/transport/channel.cpp
@@ -78,6 +78,14 @@
   }
 }
 
+void Channel::reset_at_close() {
+  try {
+    socket_.setLinger(true, 0);
+  } catch (const Poco::Exception&) {
+    // The peer is gone already.
+  }
+}
+
 Fault Listener::open(const Address& address) {
   try {
     Poco::Net::ServerSocket socket;
--- a/src/transport/channel.h
+++ b/src/transport/channel.h
@@ -38,6 +38,7 @@
   Transfer receive(char* bytes, std::size_t count);
   bool is_connected_well();  // after a connect in progress became writable
   void finish_sending();
+  void reset_at_close();  // what has not left by then is never delivered
   const Poco::Net::StreamSocket& socket() const { return socket_; }
 
  private:
