A database's role travels with its renewals

Cause: a renewal raised the count at a peer, so that the role told in between was passed over there; a leader that seemed to be a copy was replaced for nothing, again and again. registry.a_backend_that_tells_of_itself_... fails without it.

--- a/src/coordination/registry.cpp
+++ b/src/coordination/registry.cpp
@@ -122,16 +122,18 @@
   line.beaten = std::max(line.beaten, when);
   line.hold_until = std::max(line.hold_until, when + options_.hold);
   renewed_.insert(item.id);
-  if (line.entry.phase != Phase::ready || line.entry.status != Status::down) return;
-  line.entry.status = Status::up;
-  touch(line);
+  const bool is_back = line.entry.phase == Phase::ready && line.entry.status == Status::down;
+  if (is_back) line.entry.status = Status::up;
+  if (is_back || line.entry.is_leader != item.is_leader) touch(line);
+  line.entry.is_leader = item.is_leader;  // with its count: else a role told in between would be passed over
 }
 
 RenewedIds Registry::take_renewed(Moment now) {
   RenewedIds renewed;
   for (const std::string& id : std::exchange(signed_, {}))
     if (const auto found = lines_.find(id); found != lines_.end() && found->second.entry.phase == Phase::ready)
-      renewed.items.push_back({id, found->second.entry.call_count, static_cast<std::uint64_t>(std::max<std::int64_t>(0, span_between(found->second.beaten, now).count()))});
+      renewed.items.push_back({id, found->second.entry.call_count, static_cast<std::uint64_t>(std::max<std::int64_t>(0, span_between(found->second.beaten, now).count())),
+                               found->second.entry.is_leader});
   return renewed;
 }
 
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -309,16 +309,17 @@
 std::string encode(const FrameHead& head, const RenewedIds& value) {
   Writer writer = open_frame(head, FrameKind::renewed);
   writer.number(value.items.size());
-  for (const RenewedIds::Item& item : value.items) writer.text(item.id).number(item.call_count).number(item.age);
+  for (const RenewedIds::Item& item : value.items) writer.text(item.id).number(item.call_count).number(item.age).number(item.is_leader);
   return writer.take();
 }
 
 bool decode(ByteReader& reader, RenewedIds& value) {
-  value.items.resize(reader.count(24));
+  value.items.resize(reader.count(32));
   for (RenewedIds::Item& item : value.items) {
     item.id = reader.text();
     item.call_count = reader.number();
     item.age = reader.number();
+    item.is_leader = reader.number();
   }
   return reader.is_whole();
 }
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -157,6 +157,7 @@
   struct Item {
     std::string id;
     std::uint64_t call_count = 0, age = 0;  // age in milliseconds
+    bool is_leader = false;
   };
   std::vector<Item> items;
 };
--- a/tests/registry_test.cpp
+++ b/tests/registry_test.cpp
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include "coordination/beat.h"
 #include "coordination/registry.h"
 
 using namespace saddlewing;
@@ -140,3 +141,58 @@
   cr_expect(restarted.is_filled());
   cr_expect(restarted.lines().size() == 3);
 }
+
+Test(registry, a_backend_that_tells_of_itself_is_registered_renewed_and_cancelled) {
+  RegistryOptions options;
+  options.is_signing_up = true;
+  Registry here(options), there(options);
+  const Moment start = Moment{} + 1000s;
+  RosterEntry entry;
+  const std::string beat = R"({"service":"db","address":"10.0.0.1:80","zone":"z","state":"ready","store_role":"copy","call_count":4})";
+  cr_assert(!read_beat("i-1", beat, false, entry));
+  here.sign(entry, start);
+  there.take(here.since(0, start), start);
+  cr_expect(there.lines().at("i-1").entry.status == Status::up);
+  // Its new role comes with a renewal that passes the roster on the way.
+  entry.call_count = 5;
+  entry.is_leader = true;
+  here.sign(entry, start + 1s);
+  for (const auto& item : here.take_renewed(start + 1s).items) there.renew_signed(item, start + 1s);
+  there.take(here.since(1, start + 1s), start + 1s);
+  cr_expect(there.lines().at("i-1").entry.is_leader);
+  // A late call changes nothing; a cancel wins for good.
+  entry.call_count = 3;
+  entry.is_leader = false;
+  here.sign(entry, start + 2s);
+  cr_expect(here.lines().at("i-1").entry.is_leader);
+  entry.call_count = 6;
+  entry.phase = Phase::emptying;
+  here.sign(entry, start + 2s);
+  entry.call_count = 9;
+  entry.phase = Phase::ready;
+  here.sign(entry, start + 3s);
+  cr_expect(here.lines().at("i-1").entry.phase == Phase::emptying);
+}
+
+Test(registry, a_wrong_beat_is_refused_by_field) {
+  const struct {
+    const char* body;
+    const char* complaint;
+  } rows[] = {
+      {"{", "the beat is not a JSON object"},
+      {R"({"service":"db","address":"10.0.0.1:80","zone":"z","state":"ready"})", "call_count is missing or out of range"},
+      {R"({"service":"db","address":"10.0.0:80","zone":"z","state":"ready","call_count":1})", "address is not an address"},
+      {R"({"service":"db","address":"10.0.0.1:80","zone":"z","state":"odd","call_count":1})", "state is neither ready nor emptying"},
+      {R"({"service":"db","address":"10.0.0.1:80","zone":"z","state":"ready","store_role":"king","call_count":1})", "store_role is neither leader nor copy"},
+      {R"({"service":7,"address":"10.0.0.1:80","zone":"z","state":"ready","call_count":1})", "service is missing or no proper text"},
+      {R"({"service":"db","address":"10.0.0.1:80","zone":"z","state":"ready","capacity":-1,"call_count":1})", "capacity is missing or out of range"},
+  };
+  for (const auto& row : rows) {
+    RosterEntry entry;
+    const Fault found = read_beat("i-1", row.body, false, entry);
+    cr_expect(found.step == row.complaint, "%s", found.step.c_str());
+    cr_expect(entry.id.empty());
+  }
+  RosterEntry entry;
+  cr_expect(read_beat("a/b", "", true, entry) && read_beat("", "", true, entry));
+}
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -145,6 +145,8 @@
       {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":9,"ask_all":["s"],"best_count":0,"fewest_parts":1})"), "routes[0].best_count is out of range"},
       {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":9,"ask_all":["s"],"best_count":1,"fewest_parts":0})"), "routes[0].fewest_parts is out of range"},
       {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":9,"service":"s","tries":0})"), "routes[0].tries is out of range"},
+      {configuration(R"({"host":"h","path_start":"/","sort":"bounded","give_up_ms":9,"service":"s"})"), "routes[0].read_age_ms is missing"},
+      {configuration(R"({"host":"h","path_start":"/","sort":"leader","give_up_ms":9,"ask_all":["s"],"best_count":1,"fewest_parts":1})"), "routes[0].a database needs one service"},
       {configuration(R"({"host":"h","path_start":"/a/","sort":"harmless","give_up_ms":"9","service":"s"})"), "routes[0].give_up_ms is not a whole number"},
   };
   for (const auto& row : rows) cr_expect(complaint(row.body) == row.complaint, "%s: %s", row.body.c_str(), complaint(row.body).c_str());
