--- a/tests/pick_test.cpp
+++ b/tests/pick_test.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <map>
+
 #include "coordination/backend.h"
 #include "coordination/budget.h"
 
@@ -63,3 +65,33 @@
   backends[0]->is_cancelled = backends[1]->is_cancelled = true;
   cr_expect(picker.pick(backends, {}, 10, start).backend == nullptr);
 }
+
+Test(picker, where_connections_are_scarce_each_broker_keeps_to_its_own) {
+  const Moment now = Moment{} + 1000s;
+  std::vector<BackendPointer> backends;
+  for (int index = 0; index < 4; ++index) {
+    auto backend = std::make_shared<Backend>();
+    backend->id = "b" + std::to_string(index);
+    backend->status = Status::up;
+    backend->region = "r";
+    backend->locality = "l";
+    backends.push_back(backend);
+  }
+  // 58 brokers, 20 connections to each of four: one own each, and no backend is the own of more than it allows.
+  std::map<std::string, int> kept;
+  for (int broker = 0; broker < 58; ++broker) {
+    choose_own(backends, {"l", "r"}, "10.0.0." + std::to_string(broker) + ":7000", 20, 58);
+    int own = 0;
+    for (const auto& backend : backends) own += backend->is_own, kept[backend->id] += backend->is_own;
+    cr_expect(own == 1 && backends[0]->is_scarce);
+  }
+  for (const auto& [id, count] : kept) cr_expect(count <= 26, "%s: %d", id.c_str(), count);
+  Backend* own = nullptr;
+  for (const auto& backend : backends)
+    if (backend->is_own) own = backend.get();
+  Picker picker({"l", "r"}, 1);
+  cr_expect(picker.pick(backends, {}, 1, now).backend == own);
+  cr_expect(picker.pick(backends, {own}, 1, now + 20ms).backend != nullptr, "a second asking goes elsewhere");
+  choose_own(backends, {"l", "r"}, "10.0.0.1:7000", 200, 58);
+  cr_expect(!backends[0]->is_scarce);
+}
