--- a/src/coordination/backend.cpp
+++ b/src/coordination/backend.cpp
@@ -14,6 +14,25 @@
 
 }  // namespace
 
+BackendPointer keep_backend(const std::map<std::string, BackendPointer>& known, const RosterEntry& entry,
+                            const std::map<std::string, std::string>& localities, Moment now) {
+  const auto found = known.find(entry.id);
+  BackendPointer backend = found != known.end() ? found->second : std::make_shared<Backend>();
+  if (found == known.end()) {
+    if (!parse_address(entry.address, backend->address)) return nullptr;
+    backend->id = entry.id;
+    backend->service = entry.service;
+    backend->locality = entry.locality;
+    const auto region = localities.find(entry.locality);
+    backend->region = region != localities.end() ? region->second : entry.locality;
+    backend->capacity = static_cast<int>(std::max<std::uint64_t>(1, entry.capacity));
+    backend->warm_until = now + Span(static_cast<std::int64_t>(entry.warm_left));
+  }
+  backend->status = entry.status;
+  backend->is_cancelled = entry.phase != Phase::ready;
+  return backend;
+}
+
 double Picker::cost(const Backend& backend, Moment now) const {
   const double mean = backend.mean_ms > 0 ? backend.mean_ms : guess_ms;
   const double age = std::chrono::duration<double, std::milli>(now - backend.load_seen).count();
--- a/src/coordination/backend.h
+++ b/src/coordination/backend.h
@@ -1,5 +1,6 @@
 #pragma once
 // A broker's view of the backends, and the pick among them.
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -63,6 +64,11 @@
 };
 using BackendPointer = std::shared_ptr<Backend>;
 
+// The backend of a roster's entry: the one known already, or a new one; null if its address is no address. Its state is
+// the entry's from now on.
+BackendPointer keep_backend(const std::map<std::string, BackendPointer>& known, const RosterEntry& entry,
+                            const std::map<std::string, std::string>& localities, Moment now);
+
 // The table of one moment: a configuration and who serves it. Immutable, swapped whole.
 struct Table {
   ConfigurationCapture configuration;
--- a/src/coordination/session.cpp
+++ b/src/coordination/session.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "state/metrics.h"
+
 namespace saddlewing {
 namespace {
 
@@ -130,6 +132,7 @@
 }
 
 void Session::start(const std::string& id, const std::string& text, const Statement& statement, Moment now) {
+  metrics().add(Metric::statements);
   prepared_ = nullptr;
   id_ = id;
   text_ = text;
@@ -236,7 +239,7 @@
   const Moment now = Clock::now();
   if (!has_lead(now)) {  // whatever it says, somebody else may lead already
     drop_lane(now);
-    return lose_lane(true, now);
+    return lose_outcome(now);
   }
   if (outcome.verdict != Verdict::none) {
     ground_.see_refusal(lane.backend(), outcome.verdict, now);
@@ -275,11 +278,11 @@
     ++tries_;
     return may_try_again() ? proceed(now) : finish_failed(Verdict::busy, "the connection broke", now);
   }
-  if (before == State::asking) lose_lane(true, now);
+  if (before == State::asking) lose_outcome(now);
 }
 
 // The statement may have run and its outcome is not known.
-void Session::lose_lane(bool, Moment now) {
+void Session::lose_outcome(Moment now) {
   if (is_write_) return finish_failed(Verdict::unknown, "the outcome was lost", now);
   if (!has_change_ && may_try_again() && now < cutoff_) return proceed(now);
   finish_failed(Verdict::undone, "the outcome was lost", now);  // reads keep nothing, and what was not saved is rolled back
@@ -291,6 +294,7 @@
 }
 
 void Session::finish_failed(Verdict verdict, const std::string& text, Moment now) {
+  if (verdict == Verdict::unknown) metrics().add(Metric::unknown_outcomes);
   ground_.stop_waiting(*this);
   drop_lane(now);
   const bool is_over = !has_change_ || verb_ == Verb::save;
--- a/src/coordination/session.h
+++ b/src/coordination/session.h
@@ -72,7 +72,7 @@
   bool may_try_again() const { return tries_ < most_tries_; }
   void drop_lane(Moment now);
   bool has_lead(Moment now) const { return !is_lead_ || !lane_ || ground_.holds_lead(lane_->backend(), now); }
-  void lose_lane(bool was_sent, Moment now);
+  void lose_outcome(Moment now);
   void say_done(const std::string& stamp, char state, const std::string& place, std::string rows = {});
   void say_error(Verdict verdict, const std::string& text, char state);
   void finish_failed(Verdict verdict, const std::string& text, Moment now);
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -111,20 +111,8 @@
   view_ = std::move(view);
   std::map<std::string, BackendPointer> kept;
   for (const RosterEntry& entry : view_->backends) {
-    const auto found = backends_.find(entry.id);
-    BackendPointer backend = found != backends_.end() ? found->second : std::make_shared<Backend>();
-    if (found == backends_.end()) {
-      if (!parse_address(entry.address, backend->address)) continue;
-      backend->id = entry.id;
-      backend->service = entry.service;
-      backend->locality = entry.locality;
-      const auto region = startup_.localities.find(entry.locality);
-      backend->region = region != startup_.localities.end() ? region->second : entry.locality;
-      backend->capacity = static_cast<int>(std::max<std::uint64_t>(1, entry.capacity));
-      backend->warm_until = now + Span(static_cast<std::int64_t>(entry.warm_left));
-    }
-    backend->status = entry.status;
-    backend->is_cancelled = entry.phase != Phase::ready;
+    BackendPointer backend = keep_backend(backends_, entry, startup_.localities, now);
+    if (!backend) continue;
     kept[entry.id] = std::move(backend);
   }
   for (const auto& [id, backend] : backends_) {
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -18,7 +18,7 @@
     {Metric::lanes, "saddlewing_lanes", "Open connections to databases.", false},
     {Metric::lanes_opened, "saddlewing_lanes_opened_total", "Connections opened to databases.", true},
     {Metric::waiting, "saddlewing_waiting", "Sessions that wait for a leader or a connection.", false},
-    {Metric::statements, "saddlewing_statements_total", "Statements taken.", true},
+    {Metric::statements, "saddlewing_statements_total", "Statements for a database, tries of our own not counted.", true},
     {Metric::unknown_outcomes, "saddlewing_unknown_outcomes_total", "Statements answered UNKNOWN.", true},
     {Metric::ring_over, "saddlewing_ring_nodes_over", "Nodes of the ring that carry too much.", false},
     {Metric::ring_moves, "saddlewing_ring_moves_open", "Moves of virtual nodes under way.", false},
