--- a/src/coordination/aid.cpp
+++ b/src/coordination/aid.cpp
@@ -15,7 +15,7 @@
   Part& part = parts_[index];
   const Candidates& candidates = candidates_[index];
   for (;;) {
-    const PickResult picked = ground_.pick(candidates.backends, part.tried, candidates.most_connections, now);
+    const PickResult picked = ground_.pick(candidates.backends, part.tried, candidates.most_connections, now, {});
     if (!picked.backend) {
       next_.failed.push_back({index, static_cast<std::uint64_t>(Kind::nobody_up), false});
       return settle(index, now);
--- a/src/coordination/backend.cpp
+++ b/src/coordination/backend.cpp
@@ -1,5 +1,7 @@
 #include "coordination/backend.h"
 
+#include "coordination/bulkhead.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -8,7 +10,6 @@
 
 constexpr double guess_ms = 20;                        // of a backend not heard yet
 constexpr double locality_ms = 3, region_ms = 40;      // what bytes across them are taken to cost, beyond their time
-constexpr double load_fades_ms = 300;
 constexpr double other_ms = 4, scarce_ms = 60;         // against those that are not one's own
 constexpr std::size_t most_own = 2;
 
@@ -35,8 +36,7 @@
 
 double Picker::cost(const Backend& backend, Moment now) const {
   const double mean = backend.mean_ms > 0 ? backend.mean_ms : guess_ms;
-  const double age = std::chrono::duration<double, std::milli>(now - backend.load_seen).count();
-  const double foreign = age < load_fades_ms ? backend.foreign_load * (1 - age / load_fades_ms) : 0;
+  const double foreign = backend.load_of_others(now);
   const double waiting = std::max(0.0, backend.asked + foreign + 1 - backend.capacity);
   double cost = mean * (1 + waiting / backend.capacity + 0.3 * (backend.asked + foreign) / backend.capacity);
   if (now < backend.warm_until) cost *= 1.5;
@@ -64,11 +64,12 @@
 }
 
 PickResult Picker::pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried,
-                        int most_connections, Moment now) {
+                        int most_connections, Moment now, const PickWish& wish) {
   PickResult result;
   Backend *best = nullptr, *least_broken = nullptr;
   double best_cost = 0;
   int best_class = 0;
+  bool has_to_wait = false;
   for (const BackendPointer& pointer : backends) {
     Backend& backend = *pointer;
     if (backend.is_cancelled || (backend.status != Status::up && backend.status != Status::starting)) continue;
@@ -77,6 +78,10 @@
       result.is_full = true;
       continue;
     }
+    if (wish.is_heavy && !admits_heavy(backend, wish.short_work, wish.waited, now)) {
+      result.is_full = has_to_wait = true;
+      continue;
+    }
     if (backend.breaker.is_open(now)) {
       if (!least_broken || backend.breaker.until() < least_broken->breaker.until()) least_broken = &backend;
       continue;
@@ -90,7 +95,7 @@
     }
   }
   // Breakers alone never empty a shard.
-  result.backend = best ? best : least_broken;
+  result.backend = best || has_to_wait ? best : least_broken;
   if (result.backend && result.backend->breaker.is_on_trial(now)) result.backend->breaker.start_trial(now);
   return result;
 }
--- a/src/coordination/backend.h
+++ b/src/coordination/backend.h
@@ -54,6 +54,14 @@
   Moment warm_after{};        // no connection is opened in advance before
   double foreign_load = 0;    // requests of others there, as last told
   Moment load_seen{};
+  int heavy_asked = 0;        // own heavy requests at work there
+  Moment short_asked{};       // when the last short one left
+  // What others have there, fading from the moment it was told.
+  double load_of_others(Moment now) const {
+    constexpr double fades_ms = 300;
+    const double age = std::chrono::duration<double, std::milli>(now - load_seen).count();
+    return age < fades_ms ? foreign_load * (1 - age / fades_ms) : 0;
+  }
   double mean_ms = 0;         // of its outcomes; 0: none yet
   double least_ms = 0;        // near the least of them: mostly the way there and back
   Breaker breaker;
@@ -90,11 +98,18 @@
   bool is_full = false;  // somebody could serve, but every connection allowed is in use
 };
 
+// What the pick needs to know of the request.
+struct PickWish {
+  bool is_heavy = false;
+  Span short_work{0}, waited{0};  // of the short requests there; of this one so far
+};
+
 // The least expected time among UP backends; STARTING ones only where none is UP.
 class Picker {
  public:
   Picker(PickPlace place, std::uint64_t draw) : place_(std::move(place)), draw_(draw) {}
-  PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int most_connections, Moment now);
+  PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int most_connections, Moment now,
+                  const PickWish& wish = {});
 
  private:
   double cost(const Backend& backend, Moment now) const;
--- a/src/coordination/errand.cpp
+++ b/src/coordination/errand.cpp
@@ -22,7 +22,7 @@
       prompt_(std::min(began + std::max(rule.target - answer_way, rule.target / 2), cutoff_ - 1ms)), due_(cutoff_),
       best_(static_cast<std::size_t>(std::max(1, rule.best_count))) {}
 
-void Errand::start(Moment now) {
+void Errand::start(Moment now, bool is_again) {
   if (is_gathering()) {
     for (const ServiceIndex shard : rule_.shards) parts_.emplace_back().service = shard;
   } else {
@@ -34,7 +34,11 @@
     }
     parts_.emplace_back().service = chosen_.value_or(chosen);
   }
-  for (const Part& part : parts_) ground_.budget(table_->configuration->services[part.service.value].name).count_request(now);
+  for (const Part& part : parts_) {
+    Budget& budget = ground_.budget(table_->configuration->services[part.service.value].name);
+    if (is_again) budget.count_extra(now);
+    else budget.count_request(now);
+  }
   // A shard without any backend decides the outcome before anything runs.
   std::size_t empty = 0;
   for (const Part& part : parts_) {
@@ -55,6 +59,16 @@
   if (is_open()) consider(now);
 }
 
+bool Errand::may_restart(Moment now) {
+  if (!is_open() || now >= cutoff_ - way_back) return false;
+  const bool is_at_work = std::any_of(parts_.begin(), parts_.end(), [](const Part& part) { return part.active > 1; });
+  if (!rule_.is_harmless && (has_run_ || is_at_work)) return false;  // the asking that was turned away is still counted as active
+  const double reserve = ground_.reserve(now);
+  return std::all_of(parts_.begin(), parts_.end(), [&](const Part& part) {
+    return ground_.budget(table_->configuration->services[part.service.value].name).allows_extra(now, reserve);
+  });
+}
+
 bool Errand::may_ask_again(const Part& part) const {
   return !part.is_done && !part.is_failed && part.sent < rule_.tries && part.missed < most_missed;
 }
@@ -68,9 +82,10 @@
     return;
   }
   const auto& backends = table_->by_service[part.service.value];
-  PickResult picked = ground_.pick(backends, part.tried, service.most_connections, now);
+  const PickWish wish = ground_.wish(*this, service.name, now);
+  PickResult picked = ground_.pick(backends, part.tried, service.most_connections, now, wish);
   if (!picked.backend && !picked.is_full && !is_further && !part.tried.empty() && !part.active)
-    picked = ground_.pick(backends, {}, service.most_connections, now);  // nobody else is left: the same once more
+    picked = ground_.pick(backends, {}, service.most_connections, now, wish);  // nobody else is left: the same once more
   if (!picked.backend) {
     if (is_further || part.active) return;
     if (!picked.is_full) return fail_part(part, Kind::nobody_up, now);
@@ -189,6 +204,15 @@
   if (is_open()) consider(now);
 }
 
+void Errand::on_turn(Moment now) {
+  is_waiting_turn_ = false;
+  if (!is_open() || now >= cutoff_) return;
+  if (state_ == State::holding) state_ = State::asking;
+  for (std::size_t index = 0; index < parts_.size() && is_open(); ++index)
+    if (Part& part = parts_[index]; !part.is_done && !part.is_failed && !part.active) ask(index, false, now);
+  if (is_open()) consider(now);
+}
+
 // Decides whether the outcome is there, can still come, or is lost.
 void Errand::consider(Moment now) {
   if (state_ == State::asking) state_ = State::gathering;
@@ -211,6 +235,7 @@
   if (is_gathering() && now < prompt_) due_ = prompt_;
   for (const Part& part : parts_) {
     if (part.is_done || part.is_failed) continue;
+    if (!part.active && (is_waiting_turn_ || (is_waiting_turn_ = ground_.wait_turn(*this, now)))) continue;
     if (!part.active) due_ = std::min(due_, now + hold_step);
     else if (rule_.is_harmless && part.active == 1 && may_ask_again(part))
       if (const Moment further = part.asked + further_delay(part); further > now) due_ = std::min(due_, further);
--- a/src/coordination/errand.h
+++ b/src/coordination/errand.h
@@ -41,14 +41,24 @@
     };
     virtual AidTaken call_aid(Errand& errand, Span flush_after, Moment now) = 0;
     virtual void miss_aid(Errand& errand, Moment now) = 0;  // no frame came in time
+    // What a part of it at this service is to the bulkheads; and whether it is called when its turn has come.
+    virtual PickWish wish(const Errand& errand, const std::string& service, Moment now) = 0;
+    virtual bool wait_turn(Errand& errand, Moment now) = 0;
     virtual Pace& pace(const Rule& rule) = 0;
     virtual double draw() = 0;  // in [0, 1)
   };
 
   Errand(Ground& ground, TableCapture table, const Rule& rule, Moment began, Span time_left);
 
-  void start(Moment now);
+  void start(Moment now, bool is_again = false);  // is_again: its requests were counted before, these are further ones
+  // Whether it may end here and a new one begin in its place: nothing of a risky one has run, and the allowance covers it.
+  bool may_restart(Moment now);
   void on_due(Moment now) override;
+  void on_turn(Moment now);  // the parts that wait are asked, as far as there is room
+  void lose_turn(Moment now) {  // it looks again by itself
+    is_waiting_turn_ = false;
+    due_ = now;
+  }
   void take_outcome(std::size_t part, BackendOutcome outcome, Span took, Moment now) override;
   void take_breakdown(std::size_t part, Kind kind, bool may_have_run, Moment now) override;
   void take_aided(Aided aided, Span took, Moment now);
@@ -60,6 +70,7 @@
   Moment next_due() const override { return due_; }
   Moment cutoff() const override { return cutoff_; }
   const Rule& rule() const { return rule_; }
+  Moment began() const { return began_; }
   void choose(ServiceIndex service) { chosen_ = service; }  // before its start: instead of a draw among the shares
   bool is_gathering() const override { return !rule_.shards.empty(); }
   const Table& table() const { return *table_; }
@@ -98,6 +109,7 @@
   const Moment began_, cutoff_, prompt_;  // prompt_: from here on parts may be left out
   Moment due_;
   State state_ = State::matching;
+  bool is_waiting_turn_ = false;
   std::vector<Part> parts_;
   BestRecords best_;
   std::size_t done_ = 0, failed_ = 0;
--- a/src/coordination/ring_moves.cpp
+++ b/src/coordination/ring_moves.cpp
@@ -1,6 +1,7 @@
 #include "coordination/ring_moves.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "state/bytes.h"
@@ -9,19 +10,29 @@
 namespace {
 
 constexpr std::size_t most_ended = 32;  // moves that are over and still shown
+constexpr std::size_t most_open = 256;  // planned ones included
+constexpr std::uint64_t moves_form = 2; // behind a 0, which no move has as its number
+
+bool shares_node(const RingMove& one, const RingMove& other) {
+  return one.from == other.from || one.from == other.to || one.to == other.from || one.to == other.to;
+}
+
+// Of two that are planned.
+bool is_ahead(const RingMove& one, const RingMove& other) { return std::pair(-one.benefit, one.id) < std::pair(-other.benefit, other.id); }
 
 }  // namespace
 
 const char* name_of(RingMove::Step step) {
-  constexpr const char* names[] = {"planned", "copying", "closing", "switched", "settled", "undone"};
+  constexpr const char* names[] = {"planned", "copying", "closing", "switched", "settled", "undone", "opened"};
   return names[static_cast<std::size_t>(step)];
 }
 
 std::string encode_moves(const std::vector<RingMove>& moves) {
   Writer writer;
+  writer.number(0).number(moves_form);
   for (const RingMove& move : moves) {
-    writer.number(move.id).number(move.virtual_node).text(move.from).text(move.to);
-    writer.number(static_cast<std::uint64_t>(move.step)).number(move.mark);
+    writer.number(move.id).number(move.unit.virtual_node).text(move.unit.account).text(move.from).text(move.to);
+    writer.number(static_cast<std::uint64_t>(move.step)).number(move.mark).number(static_cast<std::uint64_t>(std::llround(move.benefit * 1000)));
   }
   return writer.take();
 }
@@ -29,38 +40,76 @@
 bool decode_moves(const std::string& bytes, std::vector<RingMove>& moves) {
   moves.clear();
   ByteReader reader(bytes);
-  while (reader.is_good() && !reader.is_whole()) {
+  std::uint64_t id = bytes.empty() ? 1 : reader.number();
+  const bool is_first_form = id != 0;  // written before accounts moved
+  if (!is_first_form && reader.number() != moves_form) return false;
+  if (!is_first_form && !reader.is_whole()) id = reader.number();
+  else if (!is_first_form) return true;
+  if (bytes.empty()) return true;
+  for (;;) {
     RingMove move;
-    move.id = reader.number();
-    move.virtual_node = static_cast<VirtualNode>(reader.number());
+    move.id = id;
+    move.unit.virtual_node = static_cast<VirtualNode>(reader.number());
+    if (!is_first_form) move.unit.account = reader.text();
     move.from = reader.text();
     move.to = reader.text();
     const std::uint64_t step = reader.number();
     move.mark = reader.number();
-    if (step > static_cast<std::uint64_t>(RingMove::Step::undone)) return false;
+    if (!is_first_form) move.benefit = static_cast<double>(reader.number()) / 1000;
+    if (!reader.is_good() || step > static_cast<std::uint64_t>(RingMove::Step::opened)) return false;
     move.step = static_cast<RingMove::Step>(step);
     moves.push_back(std::move(move));
+    if (reader.is_whole()) return true;
+    id = reader.number();
   }
-  return reader.is_good();
 }
 
-std::string RingMoves::request(VirtualNode virtual_node, const std::string& to, const RingMap& ring, const std::set<std::string>& serving) {
-  if (virtual_node >= ring.owners.size()) return "there is no such virtual node";
+// What the taker has and what other open moves will bring it must leave room.
+std::string RingMoves::find_room(const RingUnit& unit, std::size_t taker, const RingMap& ring, std::uint64_t but) const {
+  auto [memory, disk] = ring.used_of(taker);
+  const auto add = [&](const RingMove& move) {
+    if (!move.is_open() || move.to != ring.nodes[taker].name || (move.id && move.id == but) || ring.owner_of(move.unit) == taker) return;
+    const auto [more_memory, more_disk] = ring.size_of(move.unit);
+    memory += more_memory, disk += more_disk;
+  };
+  for (const RingMove& move : moves_) add(move);
+  for (const RingMove& move : wanted_) add(move);
+  const auto [needs_memory, needs_disk] = ring.size_of(unit);
+  if (memory + needs_memory > ring.nodes[taker].memory_mb) return ring.nodes[taker].name + " has no memory for it";
+  if (disk + needs_disk > ring.nodes[taker].disk_mb) return ring.nodes[taker].name + " has no disk for it";
+  return {};
+}
+
+std::string RingMoves::request(RingUnit unit, const std::string& to, const RingMap& ring, const std::set<std::string>& serving, bool may_wait, double benefit) {
+  if (unit.is_account()) {
+    if (!is_account_form(unit.account)) return "that is no account";
+    unit.virtual_node = ring.find(unit.account);
+  } else if (unit.virtual_node >= ring.owners.size()) {
+    return "there is no such virtual node";
+  }
   const std::size_t taker = ring.index_of(to);
   if (taker == ring.nodes.size()) return to + " is no node of the ring";
-  const std::string from = ring.owner(virtual_node).name;
-  if (from == to) return to + " owns it already";
-  for (const std::string& node : {from, to})
+  const RingMove wanted{0, unit, ring.nodes[ring.owner_of(unit)].name, to, RingMove::Step::planned, 0, benefit};
+  if (wanted.from == to) return to + " owns it already";
+  for (const std::string& node : {wanted.from, to})
     if (!serving.contains(node)) return node + " is emptying or silent";
-  double memory = 0, disk = 0;
-  const auto is_busy = [&](const RingMove& move) { return move.is_open() && (move.from == from || move.to == from || move.from == to || move.to == to); };
-  if (std::any_of(moves_.begin(), moves_.end(), is_busy) || std::any_of(wanted_.begin(), wanted_.end(), is_busy)) return "another move is under way on one of its nodes";
-  for (VirtualNode other = 0; other < ring.owners.size(); ++other)
-    if (ring.owners[other] == taker) memory += ring.size_of(other).first, disk += ring.size_of(other).second;
-  const auto [needs_memory, needs_disk] = ring.size_of(virtual_node);
-  if (memory + needs_memory > ring.nodes[taker].memory_mb) return to + " has no memory for it";
-  if (disk + needs_disk > ring.nodes[taker].disk_mb) return to + " has no disk for it";
-  wanted_.push_back({0, virtual_node, from, to, RingMove::Step::planned, 0});
+  std::size_t open = 0, placed = ring.placed.size();
+  bool is_moving = false, is_busy = false;
+  const auto look = [&](const RingMove& move) {
+    if (!move.is_open()) return;
+    ++open;
+    placed += move.unit.is_account() && !ring.placed.contains(move.unit.account);
+    is_moving = is_moving || move.unit == unit;
+    is_busy = is_busy || (move.step != RingMove::Step::opened && shares_node(move, wanted));
+  };
+  std::for_each(moves_.begin(), moves_.end(), look);
+  std::for_each(wanted_.begin(), wanted_.end(), look);
+  if (is_moving) return "it is on the move already";
+  if (is_busy && !may_wait) return "another move is under way on one of its nodes; `ring queue` waits for it";
+  if (open >= most_open) return "too many moves are planned";
+  if (unit.is_account() && !ring.placed.contains(unit.account) && placed >= most_placed) return "the table of placed accounts is full";
+  if (std::string reason = find_room(unit, taker, ring, 0); !reason.empty()) return reason;
+  wanted_.push_back(wanted);
   return {};
 }
 
@@ -68,52 +117,102 @@
   const auto found = std::find_if(moves_.begin(), moves_.end(), [&](const RingMove& move) { return move.id == id; });
   if (found == moves_.end()) return "there is no such move";
   if (!found->is_open()) return "it is over";
-  if (found->step == RingMove::Step::switched) return "it has switched; move it back instead";
+  if (found->step == RingMove::Step::switched || found->step == RingMove::Step::opened) return "it has switched; move it back instead";
   undone_.insert(id);
   return {};
 }
 
-void RingMoves::set_step(RingMove& move, RingMove::Step step) {
+void RingMoves::set_step(RingMove& move, RingMove::Step step, const std::string& reason) {
   move.step = step;
   move.mark = mark_ + 1;
   has_changed_ = true;
-  output_.news.push_back("move " + std::to_string(move.id) + " of virtual node " + std::to_string(move.virtual_node) + " from " + move.from + " to " +
-                         move.to + ": " + name_of(step));
+  if (!reason.empty()) works_[move.id].why = reason;
+  output_.news.push_back("move " + std::to_string(move.id) + " of " + move.unit.text() + " from " + move.from + " to " + move.to + ": " +
+                         name_of(step) + (reason.empty() ? "" : ", " + reason));
 }
 
 // True once the node has said that it did it.
 bool RingMoves::order(const RingMove& move, const std::string& node, const std::string& what, double mb_s, Moment now) {
   Work& work = works_[move.id];
-  if (work.done.contains(what)) return true;
+  const std::string key = what + " " + node;
+  if (work.done.contains(key)) return true;
   if (now < work.due) return false;
   work.due = now + options_.ask_again;
-  pending_[++last_token_] = {move.id, move.mark, what};
-  output_.orders.push_back({last_token_, move.id, node, what, move.virtual_node, node == move.from ? move.to : move.from, mb_s});
+  pending_[++last_token_] = {move.id, move.mark, what, node, key};
+  const bool is_placed = move.unit.is_account() && ring_->nodes[ring_->owners[move.unit.virtual_node]].name != node;
+  output_.orders.push_back({last_token_, move.id, node, what, move.unit, node == move.from ? move.to : move.from, move.mark, work.position.value_or(0), mb_s, is_placed});
   return false;
 }
 
+// Whether somebody may still act by a sheet before this step's.
+bool RingMoves::is_awaited(const RingMove& move, Moment now) {
+  if (!holders_.is_held(move.mark, now)) return false;
+  works_[move.id].why = "waits for brokers that have not confirmed it, or for their leases to end";
+  return true;
+}
+
+void RingMoves::advance_planned(RingMove& move, const RingMap& ring, Moment now) {
+  Work& work = works_[move.id];
+  if (move.unit.virtual_node >= ring.owners.size() || ring.index_of(move.to) == ring.nodes.size()) return set_step(move, RingMove::Step::undone, "the ring has changed");
+  const auto is_before = [&](const RingMove& other) {
+    return other.is_busy() || (other.step == RingMove::Step::planned && is_ahead(other, move) && works_[other.id].why.empty());
+  };
+  for (const RingMove& other : moves_)
+    if (other.id != move.id && shares_node(other, move) && is_before(other)) {
+      work.why = "waits for move " + std::to_string(other.id);
+      return;
+    }
+  const std::string owner = ring.nodes[ring.owner_of(move.unit)].name;
+  if (owner == move.to) return set_step(move, RingMove::Step::undone, move.to + " owns it already");
+  if (owner != move.from) {
+    move.from = owner;
+    work.done.clear();
+    has_changed_ = true;
+  }
+  if (work.is_outdated) return set_step(move, RingMove::Step::undone, work.why);
+  if (std::string reason = find_room(move.unit, ring.index_of(move.to), ring, move.id); !reason.empty()) {
+    work.why = reason;
+    return;
+  }
+  if (order(move, move.from, "describe", 0, now) && order(move, move.to, "describe", 0, now)) set_step(move, RingMove::Step::copying);
+}
+
 void RingMoves::advance(RingMove& move, const RingMap& ring, Moment now) {
   Work& work = works_[move.id];
-  if (work.is_fresh || work.mark != move.mark) work = {move.mark, now, {}, {}, work.share, false};
+  if (work.is_fresh || work.mark != move.mark) {
+    Work fresh;
+    fresh.mark = move.mark, fresh.since = now, fresh.share = work.share, fresh.position = work.position, fresh.is_fresh = false;
+    if (!move.is_open()) fresh.why = work.why;
+    work = std::move(fresh);
+  }
   using Step = RingMove::Step;
-  if (undone_.erase(move.id) && move.step < Step::switched) return set_step(move, Step::undone);
+  if (undone_.erase(move.id) && move.step != Step::switched && move.step != Step::opened) return set_step(move, Step::undone, "the operator wants it");
   switch (move.step) {
-    case Step::planned: return set_step(move, Step::copying);
+    case Step::planned: return advance_planned(move, ring, now);
     case Step::copying: {
+      work.position.reset();
       if (!order(move, move.from, "open", 0, now)) return;
       const std::size_t from = ring.index_of(move.from), to = ring.index_of(move.to);
-      if (from == ring.nodes.size() || to == ring.nodes.size()) return set_step(move, Step::undone);
+      if (from == ring.nodes.size() || to == ring.nodes.size()) return set_step(move, Step::undone, "the ring has changed");
       const double pace = std::min({ring.nodes[from].disk_mb_s, ring.nodes[to].disk_mb_s, ring.nodes[from].link_mb_s, ring.nodes[to].link_mb_s});
-      if (order(move, move.to, "copy", is_paused_ ? 0 : pace * options_.pace_share, now) && !is_paused_) set_step(move, Step::closing);
+      const bool is_copied = order(move, move.to, "copy", is_paused_ ? 0 : pace * options_.pace_share, now);
+      if (is_paused_) work.why = "paused: short lookups miss their aims";
+      else if (is_copied && now - work.since < options_.longest_gather) work.why = "until gathers that began before it have ended";
+      else if (is_copied) set_step(move, Step::closing);
       return;
     }
     case Step::closing:
-      if (now - work.since > options_.most_closing + options_.hold) return set_step(move, Step::copying);
-      if (holders_.is_held(move.mark, now)) return;
+      if (now - work.since > options_.most_closing + options_.lease) return set_step(move, Step::copying, "closing took too long");
+      if (is_awaited(move, now)) return;
       if (order(move, move.from, "close", 0, now) && order(move, move.to, "finish", 0, now)) set_step(move, Step::switched);
       return;
     case Step::switched:
-      if (!holders_.is_held(move.mark, now) && order(move, move.from, "drop", 0, now)) set_step(move, Step::settled);
+      if (is_awaited(move, now)) return;
+      if (order(move, move.from, "retire", 0, now) && order(move, move.to, "open", 0, now)) set_step(move, Step::opened);
+      return;
+    case Step::opened:
+      work.why = "until the last read that may still come to " + move.from;
+      if (now - work.since >= options_.longest_read && order(move, move.from, "drop", 0, now)) set_step(move, Step::settled);
       return;
     case Step::settled: return;
     case Step::undone:  // both ends are told until they have heard; nothing waits for it
@@ -132,6 +231,7 @@
     is_proposing_ = false;
   }
   is_leading_ = is_leading;
+  ring_ = &ring;
   holders_.forget(now);
   if (is_proposing_) return;
   mark_ = sheet.mark;
@@ -140,10 +240,15 @@
   is_paused_ = !are_lookups_well;
   has_changed_ = false;
   std::uint64_t last = 0;
+  std::vector<RingMove*> planned;
   for (RingMove& move : moves_) {
     last = std::max(last, move.id);
-    if (move.is_open() || (move.step == RingMove::Step::undone && !works_[move.id].done.contains("clear"))) advance(move, ring, now);
+    if (move.step == RingMove::Step::planned && !undone_.contains(move.id)) planned.push_back(&move);
+    else if (move.is_open() || (move.step == RingMove::Step::undone && !works_[move.id].done.contains("clear " + move.to))) advance(move, ring, now);
   }
+  // Those that bring the most go first.
+  std::sort(planned.begin(), planned.end(), [](const RingMove* left, const RingMove* right) { return is_ahead(*left, *right); });
+  for (RingMove* move : planned) advance(*move, ring, now);
   for (RingMove& move : std::exchange(wanted_, {})) {
     move.id = ++last;
     set_step(move, RingMove::Step::planned);
@@ -152,24 +257,48 @@
   if (!has_changed_) return;
   while (static_cast<std::size_t>(std::count_if(moves_.begin(), moves_.end(), [](const RingMove& move) { return !move.is_open(); })) > most_ended)
     moves_.erase(std::find_if(moves_.begin(), moves_.end(), [](const RingMove& move) { return !move.is_open(); }));
+  std::erase_if(works_, [&](const auto& work) {
+    return std::none_of(moves_.begin(), moves_.end(), [&](const RingMove& move) { return move.id == work.first; });
+  });
   RingSheet next = sheet;
   next.mark = mark_ + 1;
-  for (const RingMove& move : moves_)
-    if (move.step == RingMove::Step::switched && move.mark == next.mark) next.moved[move.virtual_node] = move.to;
+  for (const RingMove& move : moves_) {
+    if (move.step != RingMove::Step::switched || move.mark != next.mark) continue;
+    if (!move.unit.is_account()) next.moved[move.unit.virtual_node] = move.to;
+    else if (ring.nodes[ring.owners[move.unit.virtual_node]].name == move.to) next.placed.erase(move.unit.account);  // where the ring has it
+    else next.placed[move.unit.account] = move.to;
+  }
   next.moves = encode_moves(moves_);
   is_proposing_ = true;
   output_.proposal = std::move(next);
 }
 
-void RingMoves::finish_order(std::uint64_t token, bool is_done, double share) {
+void RingMoves::finish_order(std::uint64_t token, const NodeAnswer& answer) {
   const auto found = pending_.find(token);
   if (found == pending_.end()) return;
   const Pending pending = std::move(found->second);
   pending_.erase(found);
-  const auto work = works_.find(pending.move);
-  if (work == works_.end() || work->second.mark != pending.mark) return;
-  if (pending.what == "copy") work->second.share = share;
-  if (is_done) work->second.done.insert(pending.what), work->second.due = {};
+  const auto place = works_.find(pending.move);
+  if (place == works_.end() || place->second.mark != pending.mark) return;
+  Work& work = place->second;
+  work.why.clear();
+  if (answer.kind != NodeAnswer::Kind::told) {
+    work.why = pending.node + (answer.kind == NodeAnswer::Kind::silent ? " does not answer to " : answer.kind == NodeAnswer::Kind::refused ? " refuses " : " answers with garbage to ") + pending.what;
+    return;
+  }
+  if (answer.interface < node_interface) {
+    work.why = pending.node + " speaks version " + std::to_string(answer.interface) + " of the interface, " + std::to_string(node_interface) + " is needed";
+    work.is_outdated = pending.what == "describe";
+    return;
+  }
+  if (pending.what == "copy") work.share = answer.share;
+  if (!answer.is_done) return;
+  if (pending.what == "close" && !answer.position) return void(work.why = pending.node + " says closed without its position");
+  if (pending.what == "close") work.position = answer.position;
+  if (pending.what == "finish" && (!answer.position || answer.position != work.position))
+    return void(work.why = pending.node + " says finished without the giver's position");
+  work.done.insert(pending.key);
+  work.due = {};
 }
 
 double RingMoves::progress(std::uint64_t id) const {
@@ -177,6 +306,11 @@
   return found == works_.end() ? 0 : found->second.share;
 }
 
+std::string RingMoves::why(std::uint64_t id) const {
+  const auto found = works_.find(id);
+  return found == works_.end() ? std::string() : found->second.why;
+}
+
 RingMoves::Output RingMoves::take() { return std::exchange(output_, {}); }
 
 }  // namespace saddlewing
--- a/src/coordination/ring_watch.cpp
+++ b/src/coordination/ring_watch.cpp
@@ -10,7 +10,7 @@
 namespace saddlewing {
 namespace {
 
-constexpr std::size_t most_told = 512;
+constexpr std::size_t most_told = 512, most_accounts_told = 32;
 
 std::string percent(double share) {
   char text[32];
@@ -69,21 +69,73 @@
   return reader.is_good();
 }
 
+double AccountLoads::fading(Moment since, Moment now) const {
+  return std::exp2(-std::chrono::duration<double, std::milli>(now - since).count() / static_cast<double>(half_life_.count()));
+}
+
+void AccountLoads::add(const std::string& account, const RingLoad& load, Moment now) {
+  auto& [sum, when] = rows_[account];
+  const double kept = when == Moment{} ? 0 : fading(when, now);
+  sum = {sum.askings * kept, sum.busy_ms * kept, sum.bytes * kept};
+  sum += load;
+  when = now;
+  if (rows_.size() <= most_ * 2) return;
+  const auto busiest = sums(now);
+  for (std::size_t place = most_; place < busiest.size(); ++place) rows_.erase(busiest[place].first);
+}
+
+std::vector<std::pair<std::string, RingLoad>> AccountLoads::sums(Moment now) const {
+  std::vector<std::pair<std::string, RingLoad>> sums;
+  for (const auto& [account, row] : rows_) {
+    const double kept = fading(row.second, now);
+    sums.push_back({account, {row.first.askings * kept, row.first.busy_ms * kept, row.first.bytes * kept}});
+  }
+  std::sort(sums.begin(), sums.end(), [](const auto& left, const auto& right) {
+    return std::pair(-left.second.busy_ms, left.first) < std::pair(-right.second.busy_ms, right.first);
+  });
+  return sums;
+}
+
+std::string encode_account_loads(const std::vector<std::pair<std::string, RingLoad>>& loads) {
+  Writer writer;
+  std::size_t left = most_accounts_told;
+  for (const auto& [account, load] : loads) {
+    if (left-- == 0) break;
+    writer.text(account).number(static_cast<std::uint64_t>(load.askings)).number(static_cast<std::uint64_t>(load.busy_ms * 1000));
+    writer.number(static_cast<std::uint64_t>(load.bytes));
+  }
+  return writer.take();
+}
+
+bool decode_account_loads(const std::string& bytes, std::vector<std::pair<std::string, RingLoad>>& loads) {
+  ByteReader reader(bytes);
+  while (reader.is_good() && !reader.is_whole()) {
+    std::string account = reader.text();
+    RingLoad load;
+    load.askings = static_cast<double>(reader.number());
+    load.busy_ms = static_cast<double>(reader.number()) / 1000;
+    load.bytes = static_cast<double>(reader.number());
+    if (reader.is_good() && is_account_form(account)) loads.push_back({std::move(account), load});
+  }
+  return reader.is_good();
+}
+
 bool RingReport::is_balanced() const {
   return std::none_of(nodes.begin(), nodes.end(), [](const NodeReport& node) { return node.is_over; });
 }
 
-double move_cost(const RingMap& ring, VirtualNode virtual_node, std::size_t from, std::size_t to, const WatchOptions& options) {
+double move_cost(const RingMap& ring, const RingUnit& unit, std::size_t from, std::size_t to, const WatchOptions& options) {
   const RingNode &giver = ring.nodes[from], &taker = ring.nodes[to];
   const bool is_same_region = !giver.region.empty() && giver.region == taker.region;
-  const double distance = giver.locality == taker.locality ? 1 : is_same_region ? options.distance_locality : options.distance_region;
+  const double distance = giver.zone == taker.zone ? 1 : is_same_region ? options.distance_zone : options.distance_region;
   const double pace = std::min({giver.disk_mb_s, taker.disk_mb_s, giver.link_mb_s, taker.link_mb_s});
-  return ring.size_of(virtual_node).second * distance / pace;
+  return ring.size_of(unit).second * distance / pace;
 }
 
-RingReport RingWatch::report(const RingMap& ring, const std::vector<RingLoad>& loads) {
+RingReport RingWatch::report(const RingMap& ring, const std::vector<RingLoad>& loads, const std::vector<std::pair<std::string, RingLoad>>& accounts) {
   RingReport report;
   report.virtual_nodes = loads;
+  report.accounts = accounts;
   const std::size_t count = ring.nodes.size();
   std::vector<double> busy(count);
   double weights = 0, sum = 0, askings = 0;
@@ -101,6 +153,31 @@
     sum += loads[virtual_node].busy_ms;
     askings += loads[virtual_node].askings;
   }
+  for (const auto& [account, owner] : ring.placed) {
+    const auto [memory, disk] = ring.size_of(RingUnit{0, account});
+    report.nodes[owner].memory_mb += memory;
+    report.nodes[owner].disk_mb += disk;
+  }
+  // Who could move, with its load. An account that the ring places is part of its virtual node's load, one placed by
+  // the table is not.
+  struct Candidate {
+    RingUnit unit;
+    std::uint32_t owner;
+    RingLoad load;
+    bool is_taken = false;
+  };
+  std::vector<Candidate> candidates;
+  for (VirtualNode virtual_node = 0; virtual_node < ring.owners.size(); ++virtual_node)
+    candidates.push_back({RingUnit{virtual_node, {}}, ring.owners[virtual_node], loads[virtual_node]});
+  for (const auto& [account, load] : accounts) {
+    const std::uint32_t owner = ring.owner_of(account);
+    candidates.push_back({RingUnit{ring.find(account), account}, owner, load});
+    if (!ring.placed.contains(account)) continue;
+    report.nodes[owner].load += load;
+    busy[owner] += load.busy_ms;
+    sum += load.busy_ms;
+    askings += load.askings;
+  }
   const auto share_of = [&](std::size_t index) { return sum > 0 ? busy[index] / (sum * ring.nodes[index].weight / weights) : 0; };
   for (std::size_t index = 0; index < count; ++index) report.nodes[index].share = share_of(index);
   report.is_enough = askings >= options_.least_askings;
@@ -121,7 +198,6 @@
 
   std::vector<double> memory(count), disk(count);
   for (std::size_t index = 0; index < count; ++index) memory[index] = report.nodes[index].memory_mb, disk[index] = report.nodes[index].disk_mb;
-  std::vector<bool> is_taken(ring.owners.size());
   for (;;) {
     std::size_t from = count;
     for (std::size_t index = 0; index < count; ++index)
@@ -133,22 +209,22 @@
     }
     // The move that takes most off for what it costs; never so that the receiver would carry too much in turn.
     double best_worth = 0;
-    VirtualNode best = 0;
+    Candidate* best = nullptr;
     std::size_t best_to = count;
     bool has_load = false, has_room = false;
-    for (VirtualNode virtual_node = 0; virtual_node < ring.owners.size(); ++virtual_node) {
-      if (ring.owners[virtual_node] != from || is_taken[virtual_node] || loads[virtual_node].busy_ms <= 0) continue;
+    for (Candidate& candidate : candidates) {
+      if (candidate.owner != from || candidate.is_taken || candidate.load.busy_ms <= 0) continue;
       has_load = true;
-      const auto [needs_memory, needs_disk] = ring.size_of(virtual_node);
+      const auto [needs_memory, needs_disk] = ring.size_of(candidate.unit);
       for (std::size_t to = 0; to < count; ++to) {
         if (to == from || memory[to] + needs_memory > ring.nodes[to].memory_mb || disk[to] + needs_disk > ring.nodes[to].disk_mb) continue;
         has_room = true;
         const double unit = sum / weights;
-        const double after_to = (busy[to] + loads[virtual_node].busy_ms) / (unit * ring.nodes[to].weight);
-        const double after_from = (busy[from] - loads[virtual_node].busy_ms) / (unit * ring.nodes[from].weight);
+        const double after_to = (busy[to] + candidate.load.busy_ms) / (unit * ring.nodes[to].weight);
+        const double after_from = (busy[from] - candidate.load.busy_ms) / (unit * ring.nodes[from].weight);
         if (after_to > options_.settled || after_from < 2 - options_.over) continue;
-        const double worth = loads[virtual_node].busy_ms / unit / (0.2 + move_cost(ring, virtual_node, from, to, options_)) * (2 - after_to);
-        if (worth > best_worth) best_worth = worth, best = virtual_node, best_to = to;
+        const double worth = candidate.load.busy_ms / unit / (0.2 + move_cost(ring, candidate.unit, from, to, options_)) * (2 - after_to);
+        if (worth > best_worth) best_worth = worth, best = &candidate, best_to = to;
       }
     }
     if (best_to == count) {
@@ -157,17 +233,21 @@
       break;
     }
     MoveProposal proposal;
-    proposal.virtual_node = best;
+    proposal.unit = best->unit;
     proposal.from = ring.nodes[from].name;
     proposal.to = ring.nodes[best_to].name;
-    proposal.load = loads[best];
-    std::tie(proposal.memory_mb, proposal.disk_mb) = ring.size_of(best);
-    proposal.cost = move_cost(ring, best, from, best_to, options_);
-    busy[from] -= loads[best].busy_ms;
-    busy[best_to] += loads[best].busy_ms;
+    proposal.load = best->load;
+    std::tie(proposal.memory_mb, proposal.disk_mb) = ring.size_of(best->unit);
+    proposal.cost = move_cost(ring, best->unit, from, best_to, options_);
+    busy[from] -= best->load.busy_ms;
+    busy[best_to] += best->load.busy_ms;
     memory[from] -= proposal.memory_mb, memory[best_to] += proposal.memory_mb;
     disk[from] -= proposal.disk_mb, disk[best_to] += proposal.disk_mb;
-    is_taken[best] = true;
+    best->is_taken = true;
+    // One and the same load moves once: not an account and its virtual node both.
+    for (Candidate& other : candidates)
+      if (other.unit.virtual_node == best->unit.virtual_node && other.owner == from && !ring.placed.contains(other.unit.account) && !ring.placed.contains(best->unit.account))
+        other.is_taken = true;
     proposal.share_from = share_of(from);
     proposal.share_to = share_of(best_to);
     report.proposals.push_back(std::move(proposal));
--- a/src/coordination/ring_watch.h
+++ b/src/coordination/ring_watch.h
@@ -1,5 +1,6 @@
 #pragma once
 // How the ring spreads load over its nodes: who carries too much, and which virtual nodes could move. Pure.
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,15 +30,33 @@
   std::vector<std::pair<RingLoad, Moment>> rows_;
 };
 
+// The same for accounts, of which only the busiest are kept.
+class AccountLoads {
+ public:
+  AccountLoads(Span half_life, std::size_t most) : half_life_(half_life), most_(most) {}
+  void add(const std::string& account, const RingLoad& load, Moment now);
+  // The busiest first.
+  std::vector<std::pair<std::string, RingLoad>> sums(Moment now) const;
+
+ private:
+  double fading(Moment since, Moment now) const;
+  Span half_life_;
+  std::size_t most_;
+  std::map<std::string, std::pair<RingLoad, Moment>> rows_;
+};
+
 // What a broker counted since it last told: a bounded list, the busiest first.
 std::string encode_loads(const std::vector<std::pair<VirtualNode, RingLoad>>& loads);
 bool decode_loads(const std::string& bytes, std::vector<std::pair<VirtualNode, RingLoad>>& loads);
 
+std::string encode_account_loads(const std::vector<std::pair<std::string, RingLoad>>& loads);
+bool decode_account_loads(const std::string& bytes, std::vector<std::pair<std::string, RingLoad>>& loads);
+
 struct WatchOptions {
   double over = 1.25, settled = 1.10;  // of the mean: above `over` a node carries too much, until under `settled`
   double least_askings = 200;          // fewer tell nothing
   std::size_t most_proposals = 4;
-  double distance_locality = 2, distance_region = 8;  // cost of a byte over the way, against one within a locality
+  double distance_zone = 2, distance_region = 8;  // cost of a byte over the way, against one within a zone
 };
 
 struct NodeReport {
@@ -49,7 +68,7 @@
 };
 
 struct MoveProposal {
-  VirtualNode virtual_node = 0;
+  RingUnit unit;
   std::string from, to;
   RingLoad load;
   double memory_mb = 0, disk_mb = 0;
@@ -60,6 +79,7 @@
 struct RingReport {
   std::vector<NodeReport> nodes;
   std::vector<RingLoad> virtual_nodes;
+  std::vector<std::pair<std::string, RingLoad>> accounts;  // the busiest, as far as known
   std::vector<MoveProposal> proposals;
   std::vector<std::string> remarks;  // why the rest stays
   bool is_enough = false;            // enough askings to judge by
@@ -70,14 +90,15 @@
 class RingWatch {
  public:
   explicit RingWatch(WatchOptions options) : options_(options) {}
-  RingReport report(const RingMap& ring, const std::vector<RingLoad>& loads);
+  // `loads`: of virtual nodes, without accounts that live elsewhere; `accounts`: of the busiest.
+  RingReport report(const RingMap& ring, const std::vector<RingLoad>& loads, const std::vector<std::pair<std::string, RingLoad>>& accounts = {});
 
  private:
   WatchOptions options_;
   std::vector<std::string> over_;
 };
 
-// What a move of this virtual node costs between these nodes: its megabytes, weighed by distance and by the slower end.
-double move_cost(const RingMap& ring, VirtualNode virtual_node, std::size_t from, std::size_t to, const WatchOptions& options);
+// What a move of this unit costs between these nodes: its megabytes, weighed by distance and by the slower end.
+double move_cost(const RingMap& ring, const RingUnit& unit, std::size_t from, std::size_t to, const WatchOptions& options);
 
 }  // namespace saddlewing
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -28,8 +28,13 @@
 
 int ring(const cxxopts::Options& options, const cxxopts::ParseResult& read, const std::vector<std::string>& words) {
   const std::string verb = words.empty() ? "" : words[0];
-  const std::size_t wanted = verb == "report" || verb == "propose" || verb == "status" ? 1 : verb == "apply" || verb == "undo" ? 2 : verb == "move" ? 3 : 0;
-  if (!wanted || words.size() != wanted) return usage(options, "ring takes report, propose, status, apply FILE, move VIRTUAL-NODE RECEIVER or undo MOVE");
+  const bool is_of_account = words.size() > 1 && words[1] == "account";
+  const std::size_t wanted = verb == "report" || verb == "propose" || verb == "status" ? 1
+                             : verb == "apply" || verb == "undo"                       ? 2
+                             : verb == "move" || verb == "queue"                       ? (is_of_account ? 4 : 3)
+                                                                                       : 0;
+  if (!wanted || words.size() != wanted)
+    return usage(options, "ring takes report, propose, status, apply FILE, undo MOVE, or move (or queue) VIRTUAL-NODE RECEIVER or account NAME RECEIVER");
   std::vector<std::string> contacts;
   int wait = 0;
   std::string complaint;
@@ -56,7 +61,8 @@
                            "  pooler          carry database sessions\n"
                            "  registry        keep the configuration and the registry of backends\n"
                            "  tracer EDITION  follow one change of the configuration through all nodes\n"
-                           "  ring WHAT       the hash ring: report, propose, status, apply FILE, move VIRTUAL-NODE RECEIVER, undo MOVE\n"
+                           "  ring WHAT       the hash ring: report, propose, status, apply FILE, undo MOVE;\n"
+                           "                  move or queue, of VIRTUAL-NODE RECEIVER or account NAME RECEIVER\n"
                            "  check FILE      check a startup, a configuration or a ring file\n");
   options.positional_help("COMMAND [FILE | EDITION]");
   options.add_options()("h,help", "print this help")("version", "print the version")(
--- a/src/programs/aids.cpp
+++ b/src/programs/aids.cpp
@@ -26,6 +26,7 @@
       lacking.push_back(index);
   }
   if (lacking.size() < least_parts || view_->seats.empty()) return {};
+  if (const auto own = trips_.find(&errand); own == trips_.end() || own->second->ring) return {};  // what nodes of the ring are told differs by node
 
   // The region that has most of them, and there the broker with the least to expect.
   std::vector<std::size_t> best_parts;
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -139,7 +139,7 @@
   } else if (const auto* examined = std::get_if<Examined>(&event)) {
     failover_.finish_order(examined->token, examined->status, now);
   } else if (const auto* told = std::get_if<NodeTold>(&event)) {
-    ring_moves_.finish_order(told->token, told->is_done, told->share);
+    ring_moves_.finish_order(told->token, told->answer);
   } else if (const auto* raised = std::get_if<Raised>(&event)) {
     failover_.finish_raise(raised->token, raised->status, now);
   }
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -91,6 +91,8 @@
   void take_ring_call(const std::string& route, const RingCall& call, Moment now);
   RingAnswer answer_ring(const RingCall& call, Moment now);
   Fault check_ring(const std::string& file, RingMap& ring) const;
+  RingAnswer answer_move(const RingCall& call, Moment now);
+  void bound_ring_reads();
   std::string show_ring(bool has_proposals, Moment now);
   void tend_ring(Moment now);
   void take_ring_follow(const FrameHead& from, const Follow& follow, Beat& beat, Moment now);
@@ -124,6 +126,7 @@
   RingMoves ring_moves_;
   RingWatch ring_watch_{WatchOptions{}};
   RingLoads ring_loads_{Span(30000)};
+  AccountLoads account_loads_{Span(30000), 256};
   std::map<std::string, Moment> ring_told_;  // brokers whose counts are in
   double lookups_ = 0, late_lookups_ = 0;
   Moment ring_due_{}, ring_watched_{};
--- a/src/programs/core_ring.cpp
+++ b/src/programs/core_ring.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
 
 #include "programs/core.h"
 #include "state/metrics.h"
@@ -31,11 +32,32 @@
   return value;
 }
 
+void show_unit(Json::Value& value, const RingUnit& unit) {
+  if (unit.is_account()) value["account"] = unit.account;
+  else value["virtual_node"] = unit.virtual_node;
+}
+
+// `17 shard-b`, or `account camper-7 shard-b`.
+bool read_move(const std::string& text, RingUnit& unit, std::string& to) {
+  std::istringstream words(text);
+  std::string first;
+  words >> first;
+  if (first == "account") {
+    words >> unit.account;
+  } else {
+    if (first.empty() || first.size() > 6 || first.find_first_not_of("0123456789") != std::string::npos) return false;
+    unit.virtual_node = static_cast<VirtualNode>(std::stoul(first));
+  }
+  words >> to;
+  std::string more;
+  return !to.empty() && !(words >> more);
+}
+
 }  // namespace
 
 MoveOptions move_options(const Startup& startup) {
   MoveOptions options;
-  options.hold = startup.lead_hold;
+  options.lease = startup.lead_hold;
   options.settle = startup.lead_hold + startup.election + Span(100);
   return options;
 }
@@ -55,8 +77,20 @@
   return {};
 }
 
+// Nothing of the nodes is forgotten before the last request that may still come there.
+void Core::bound_ring_reads() {
+  if (!configuration_) return;
+  Span read{0}, gather{0};
+  const auto is_node = [&](ServiceIndex service) { return ring_.index_of(configuration_->services[service.value].name) < ring_.nodes.size(); };
+  for (const Rule& rule : configuration_->rules) {
+    if (std::any_of(rule.shares.begin(), rule.shares.end(), [&](const Share& share) { return is_node(share.service); })) read = std::max(read, rule.give_up);
+    if (std::any_of(rule.shards.begin(), rule.shards.end(), is_node)) gather = std::max(gather, rule.give_up);
+  }
+  ring_moves_.set_longest(std::max(read, gather), gather);
+}
+
 std::string Core::show_ring(bool has_proposals, Moment now) {
-  const RingReport report = ring_watch_.report(ring_, ring_loads_.sums(ring_.owners.size(), now));
+  const RingReport report = ring_watch_.report(ring_, ring_loads_.sums(ring_.owners.size(), now), account_loads_.sums(now));
   Json::Value root(Json::objectValue);
   root["edition"] = Json::Int64(ring_.edition.value);
   root["mark"] = Json::UInt64(ring_sheet_.mark);
@@ -77,6 +111,15 @@
     value["node"] = ring_.owner(virtual_node).name;
     root["virtual_nodes"].append(value);
   }
+  constexpr std::size_t most_shown = 20;
+  for (const auto& [account, load] : report.accounts) {
+    if (root["accounts"].size() >= most_shown) break;
+    Json::Value value = show(load);
+    value["account"] = account;
+    value["node"] = ring_.nodes[ring_.owner_of(account)].name;
+    value["placed"] = ring_.placed.contains(account);
+    root["accounts"].append(value);
+  }
   for (const auto& [from, broker] : brokers_) {
     const auto told = ring_told_.find(from);
     if (!broker.is_pooler && (told == ring_told_.end() || now - told->second > counts_are_in)) root["missing"].append(from);
@@ -84,7 +127,7 @@
   if (has_proposals)
     for (const MoveProposal& proposal : report.proposals) {
       Json::Value value = show(proposal.load);
-      value["virtual_node"] = proposal.virtual_node;
+      show_unit(value, proposal.unit);
       value["from"] = proposal.from;
       value["to"] = proposal.to;
       value["memory_mb"] = proposal.memory_mb;
@@ -98,6 +141,27 @@
   return write(root);
 }
 
+RingAnswer Core::answer_move(const RingCall& call, Moment now) {
+  RingUnit unit;
+  std::string to;
+  if (!read_move(call.text, unit, to)) return {false, {}, "a move needs a virtual node, or `account` and its name, and a receiver", {}};
+  std::set<std::string> serving;
+  for (const auto& [id, line] : registry_.lines())
+    if (line.entry.phase == Phase::ready && line.entry.status == Status::up) serving.insert(line.entry.service);
+  // What it takes off its node, against what it costs.
+  double benefit = 0;
+  const std::size_t taker = ring_.index_of(to);
+  if (taker < ring_.nodes.size() && (unit.is_account() || unit.virtual_node < ring_.owners.size())) {
+    if (!unit.is_account()) benefit = ring_loads_.sums(ring_.owners.size(), now)[unit.virtual_node].busy_ms;
+    for (const auto& [account, load] : account_loads_.sums(now))
+      if (account == unit.account) benefit = load.busy_ms;
+    benefit /= 1 + move_cost(ring_, unit, ring_.owner_of(unit), taker, {});
+  }
+  const std::string reason = ring_moves_.request(unit, to, ring_, serving, call.verb == "queue", benefit);
+  if (!reason.empty()) return {false, {}, reason, {}};
+  return {true, {}, {}, "{}"};
+}
+
 RingAnswer Core::answer_ring(const RingCall& call, Moment now) {
   const auto refuse = [](const std::string& reason) { return RingAnswer{false, {}, reason, {}}; };
   if (!agreement_.is_leader()) return {false, agreement_.leader_address(), "another registry leads", {}};
@@ -108,6 +172,8 @@
     if (ring.edition <= ring_.edition) return refuse("edition: " + std::to_string(ring_.edition.value) + " is in force, a higher one is needed");
     if (std::any_of(ring_moves_.moves().begin(), ring_moves_.moves().end(), [](const RingMove& move) { return move.is_open(); }))
       return refuse("a move is under way");
+    for (const auto& [account, node] : ring_sheet_.placed)
+      if (ring.index_of(node) == ring.nodes.size()) return refuse("nodes: " + node + " is missing, and account " + account + " is placed there");
     RingSheet next = ring_sheet_;
     next.mark = ring_sheet_.mark + 1;
     next.file = call.text;
@@ -116,17 +182,7 @@
   }
   if (!ring_sheet_.mark) return refuse("no ring is in force");
   if (call.verb == "report" || call.verb == "propose") return {true, {}, {}, show_ring(call.verb == "propose", now)};
-  if (call.verb == "move") {
-    const auto space = call.text.find(' ');
-    const std::string number = call.text.substr(0, space);
-    if (space == std::string::npos || number.empty() || number.size() > 6 || number.find_first_not_of("0123456789") != std::string::npos)
-      return refuse("a move needs a virtual node and a receiver");
-    std::set<std::string> serving;
-    for (const auto& [id, line] : registry_.lines())
-      if (line.entry.phase == Phase::ready && line.entry.status == Status::up) serving.insert(line.entry.service);
-    const std::string reason = ring_moves_.request(static_cast<VirtualNode>(std::stoul(number)), call.text.substr(space + 1), ring_, serving);
-    return reason.empty() ? RingAnswer{true, {}, {}, "{}"} : refuse(reason);
-  }
+  if (call.verb == "move" || call.verb == "queue") return answer_move(call, now);
   if (call.verb == "undo") {
     if (call.text.empty() || call.text.size() > 15 || call.text.find_first_not_of("0123456789") != std::string::npos) return refuse("undo needs a move's number");
     const std::string reason = ring_moves_.undo(std::stoull(call.text));
@@ -135,14 +191,17 @@
   if (call.verb != "status") return refuse("unknown call " + call.verb);
   Json::Value root(Json::objectValue);
   root["paused"] = ring_moves_.is_paused();
+  root["placed"] = Json::UInt64(ring_.placed.size());
   for (const RingMove& move : ring_moves_.moves()) {
     Json::Value value(Json::objectValue);
     value["move"] = Json::UInt64(move.id);
-    value["virtual_node"] = move.virtual_node;
+    show_unit(value, move.unit);
     value["from"] = move.from;
     value["to"] = move.to;
     value["step"] = name_of(move.step);
     value["copied"] = ring_moves_.progress(move.id);
+    value["benefit"] = move.benefit;
+    value["why"] = ring_moves_.why(move.id);
     root["moves"].append(value);
   }
   return {true, {}, {}, write(root)};
@@ -162,6 +221,9 @@
   if (decode_loads(follow.ring_loads, loads))
     for (const auto& [virtual_node, load] : loads)
       if (virtual_node < ring_.owners.size()) ring_loads_.add(virtual_node, load, now);
+  std::vector<std::pair<std::string, RingLoad>> accounts;
+  if (decode_account_loads(follow.account_loads, accounts))
+    for (const auto& [account, load] : accounts) account_loads_.add(account, load, now);
   ring_told_[from.from] = now;
   lookups_ += static_cast<double>(follow.lookups);
   late_lookups_ += static_cast<double>(follow.late_lookups);
@@ -194,15 +256,20 @@
   const bool are_lookups_well = late_lookups_ <= most_late * std::max(50.0, lookups_);
   lookups_ *= kept_lookups;
   late_lookups_ *= kept_lookups;
+  bound_ring_reads();
   ring_moves_.tick(true, ring_sheet_, ring_, are_lookups_well, now);
   RingMoves::Output output = ring_moves_.take();
   for (const std::string& news : output.news) LOG(INFO) << "ring: " << news;
   for (const RingMoves::Order& order : output.orders) {
     Json::Value value(Json::objectValue);
+    value["interface"] = node_interface;
     value["move"] = Json::UInt64(order.move);
+    value["mark"] = Json::UInt64(order.mark);
     value["what"] = order.what;
-    value["virtual_node"] = order.virtual_node;
+    show_unit(value, order.unit);
+    if (order.what == "finish") value["position"] = Json::UInt64(order.position);
     value["mb_per_s"] = order.mb_s;
+    value["placed"] = order.is_placed;
     const auto address_of = [&](const std::string& node) {
       for (const auto& [id, line] : registry_.lines())
         if (line.entry.service == node && line.entry.phase == Phase::ready && line.entry.status == Status::up) return line.entry;
@@ -211,13 +278,13 @@
     value["other"] = address_of(order.other).address;
     const RosterEntry entry = address_of(order.node);
     EnvoyOrder sent{order.token, order.node, entry.id, entry.address, {}, write(value), 0, now};
-    if (!envoy_->order(std::move(sent))) ring_moves_.finish_order(order.token, false, 0);
+    if (!envoy_->order(std::move(sent))) ring_moves_.finish_order(order.token, {});
   }
   if (output.proposal) agreement_.propose_sheet(ring_sheet, encode_ring(*output.proposal), ring_token, now);
   metrics().set(Metric::ring_moves, std::count_if(ring_moves_.moves().begin(), ring_moves_.moves().end(), [](const RingMove& move) { return move.is_open(); }));
   if (now - ring_watched_ < watch_every) return;
   ring_watched_ = now;
-  const RingReport report = ring_watch_.report(ring_, ring_loads_.sums(ring_.owners.size(), now));
+  const RingReport report = ring_watch_.report(ring_, ring_loads_.sums(ring_.owners.size(), now), account_loads_.sums(now));
   std::string over;
   for (const NodeReport& node : report.nodes)
     if (node.is_over) over += (over.empty() ? "" : ", ") + node.name;
--- a/src/programs/envoy.cpp
+++ b/src/programs/envoy.cpp
@@ -12,6 +12,24 @@
 
 constexpr Span database_wait{600}, platform_wait{2500};
 
+NodeAnswer read_node_answer(int status, const std::string& body) {
+  NodeAnswer answer;
+  Json::Value value;
+  std::string reason;
+  if (status < 200 || status > 299) return answer.kind = NodeAnswer::Kind::refused, answer;
+  answer.kind = NodeAnswer::Kind::garbled;
+  if (!read_json(body, value, reason) || !value.isObject() || !value["is_done"].isBool()) return answer;
+  for (const char* name : {"interface", "position"})
+    if (value.isMember(name) && !value[name].isUInt64()) return answer;
+  if (value.isMember("share") && (!value["share"].isNumeric() || !(value["share"].asDouble() >= 0 && value["share"].asDouble() <= 1))) return answer;
+  answer.kind = NodeAnswer::Kind::told;
+  answer.is_done = value["is_done"].asBool();
+  answer.share = value.get("share", 0).asDouble();
+  answer.interface = value.isMember("interface") ? static_cast<int>(std::min<std::uint64_t>(value["interface"].asUInt64(), 1000)) : 1;
+  if (value.isMember("position")) answer.position = value["position"].asUInt64();
+  return answer;
+}
+
 }  // namespace
 
 Envoy::Envoy(const Startup& startup, Ring<CoreEvent>& events)
@@ -93,14 +111,9 @@
   errand.is_over = true;
   schedule_.drop(errand);
   if (!errand.order.node_order.empty()) {
-    NodeTold told{errand.order.token, false, 0};
-    Json::Value value;
-    std::string reason;
-    if (status == 200 && read_json(errand.caller->reader().body(), value, reason) && value.isObject()) {
-      told.is_done = value["is_done"].isBool() && value["is_done"].asBool();
-      if (value["share"].isNumeric()) told.share = std::clamp(value["share"].asDouble(), 0.0, 1.0);
-    }
-    events_.push(told);
+    const bool is_heard = status != 0 && errand.caller;
+    NodeTold told{errand.order.token, is_heard ? read_node_answer(status, errand.caller->reader().body()) : NodeAnswer{}};
+    events_.push(std::move(told));
     return;
   }
   if (errand.caller) {
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -48,14 +48,15 @@
   Moment built{};       // not after the ages were counted
 };
 
-// The ring a broker may act by, and until when for what may run once.
+// The ring a broker may act by, and until when.
 struct RingNews {
-  RingCapture view;  // null: as before
+  RingSnapshot view;  // null: as before
   Moment until{};
 };
 // What a broker sent by the ring since it last told.
 struct RingCounts {
   std::vector<std::pair<VirtualNode, RingLoad>> loads;
+  std::vector<std::pair<std::string, RingLoad>> accounts;
   std::uint64_t lookups = 0, late = 0;
 };
 
--- a/src/programs/following.cpp
+++ b/src/programs/following.cpp
@@ -70,14 +70,20 @@
 
 void Follower::count_ring(Follow& follow) {
   std::map<VirtualNode, RingLoad> sums;
+  std::map<std::string, RingLoad> account_sums;
   for (const RingCounts& counts : ring_counts_.take()) {
     for (const auto& [virtual_node, load] : counts.loads) sums[virtual_node] += load;
+    for (const auto& [account, load] : counts.accounts) account_sums[account] += load;
     follow.lookups += counts.lookups;
     follow.late_lookups += counts.late;
   }
   std::vector<std::pair<VirtualNode, RingLoad>> loads(sums.begin(), sums.end());
-  std::sort(loads.begin(), loads.end(), [](const auto& left, const auto& right) { return left.second.busy_ms > right.second.busy_ms; });
+  std::vector<std::pair<std::string, RingLoad>> accounts(account_sums.begin(), account_sums.end());
+  const auto is_busier = [](const auto& left, const auto& right) { return left.second.busy_ms > right.second.busy_ms; };
+  std::sort(loads.begin(), loads.end(), is_busier);
+  std::sort(accounts.begin(), accounts.end(), is_busier);
   follow.ring_loads = encode_loads(loads);
+  follow.account_loads = encode_account_loads(accounts);
 }
 
 void Follower::take_ring(const Beat& beat) {
--- a/src/programs/ring_traffic.cpp
+++ b/src/programs/ring_traffic.cpp
@@ -6,31 +6,52 @@
 namespace saddlewing {
 namespace {
 
-constexpr std::size_t most_parked = 256;
+constexpr std::size_t most_parked = 256, most_counted = 512;
 constexpr Span report_every{300};
 
 Reply come_back() {
-  Reply reply = reply_of(Kind::overloaded, "its key is on the move");
+  Reply reply = reply_of(Kind::overloaded, "its account is on the move");
   reply.fields += "Retry-After: 0.5\r\n";
   return reply;
 }
 
 }  // namespace
 
+// Whether a request goes to nodes of the ring: placed by its key, or gathered over them.
+bool Traffic::is_of_ring(const Rule& rule) const {
+  if (!gate_.view()) return false;
+  const RingMap& ring = gate_.view()->map;
+  if (rule.name == ring.rule) return true;
+  const auto& services = table_->configuration->services;
+  return std::any_of(rule.shards.begin(), rule.shards.end(), [&](ServiceIndex shard) { return ring.index_of(services[shard.value].name) < ring.nodes.size(); });
+}
+
+// False: it was parked or refused.
 bool Traffic::place(Visit& visit, const Rule& rule, Trip& trip, std::optional<ServiceIndex>& service, Moment now) {
   const RingMap& ring = gate_.view()->map;
   std::string_view key;
-  if (!ring.key_of(visit.request().getURI(), rule.path_start, key)) return true;  // as without a ring
-  const VirtualNode virtual_node = ring.find(key);
+  const bool has_key = rule.name == ring.rule && ring.key_of(visit.request().getURI(), rule.path_start, key);
+  if (rule.name == ring.rule && !has_key) return true;  // as without a ring
+  if (!gate_.is_leased(now)) {
+    metrics().add(Metric::refusals);
+    visit.answer(come_back(), now);
+    return false;
+  }
+  trip.ring = gate_.view();
+  if (!has_key) return true;  // gathered over nodes of the ring
+  const std::uint32_t owner = ring.owner_of(key);
   for (const Share& share : rule.shares)
-    if (share.weight > 0 && table_->configuration->services[share.service.value].name == ring.owner(virtual_node).name) service = share.service;
-  if (!service) return true;  // this edition does not allow the owner: the rule goes first
-  trip.place = {virtual_node, ring.owners[virtual_node]};
+    if (share.weight > 0 && table_->configuration->services[share.service.value].name == ring.nodes[owner].name) service = share.service;
+  if (!service) {  // this version of the configuration does not allow the owner: the route goes first
+    trip.ring.reset();
+    return true;
+  }
+  trip.place = Trip::Place{std::string(key), ring.find(key), owner};
   trip.is_risky = !rule.is_harmless;
   trip.began = now;
   trip.target = rule.target;
-  if (gate_.decide(virtual_node, rule.is_harmless, now) == RingGate::Way::pass) {
-    if (trip.is_risky) gate_.start(virtual_node, ring.owners[virtual_node]);
+  if (gate_.decide(key, rule.is_harmless, now) == RingGate::Way::pass) {
+    if (trip.is_risky) gate_.start(trip.place->key, owner);
     return true;
   }
   trip.place.reset();
@@ -47,6 +68,22 @@
   return false;
 }
 
+// A node turned it away, and the ring has changed since it left: it starts again by the newest view, if its tries and the
+// allowance for further ones suffice. Of what may run once nothing may have run.
+bool Traffic::restart(const TripPointer& trip, Moment now) {
+  constexpr int most_rounds = 3;
+  if (!trip->ring || !gate_.view() || gate_.view()->mark <= trip->ring->mark || trip->rounds + 1 >= most_rounds) return false;
+  if (!trip->errand || !trip->errand->is_open() || !trip->errand->may_restart(now)) return false;
+  Visit* visit = server_.find(trip->visit);
+  if (!visit) return false;
+  trip->errand->abandon();
+  by_visit_.erase(trip->visit);
+  end_trip(trip->asker.get());
+  visit->body() = std::move(trip->body);
+  begin(*visit, trip->rounds + 1, now);
+  return true;
+}
+
 void Traffic::Parked::on_due(Moment now) {
   Traffic& home = traffic;
   Visit* waiting = home.server_.find(visit);
@@ -57,7 +94,7 @@
 }
 
 void Traffic::take_ring(RingNews news, Moment now) {
-  gate_.set_hold(news.until);
+  gate_.set_lease(news.until);
   gate_.take(std::move(news.view));
   if (follower_) follower_->confirm_ring(gate_.confirmed());
   std::vector<VisitId> waiting;
@@ -70,15 +107,20 @@
 }
 
 void Traffic::leave_place(const Trip& trip, Moment now) {
+  const Trip::Place& place = *trip.place;
   if (trip.is_risky) {
-    gate_.finish(trip.place->first, trip.place->second);
+    gate_.finish(place.key, place.owner);
     if (follower_) follower_->confirm_ring(gate_.confirmed());
   }
   const double took = std::chrono::duration<double, std::milli>(now - trip.began).count();
-  const auto found = std::find_if(ring_counts_.loads.begin(), ring_counts_.loads.end(), [&](const auto& row) { return row.first == trip.place->first; });
   const RingLoad load{1, took, static_cast<double>(trip.head_start.size() + trip.body.size())};
-  if (found != ring_counts_.loads.end()) found->second += load;
-  else ring_counts_.loads.push_back({trip.place->first, load});
+  const auto count = [&](auto& rows, const auto& name) {
+    const auto found = std::find_if(rows.begin(), rows.end(), [&](const auto& row) { return row.first == name; });
+    if (found != rows.end()) found->second += load;
+    else if (rows.size() < most_counted) rows.push_back({name, load});
+  };
+  if (!trip.ring || !trip.ring->map.placed.contains(place.key)) count(ring_counts_.loads, place.virtual_node);
+  if (is_account_form(place.key)) count(ring_counts_.accounts, place.key);
   if (!trip.is_risky) {
     ++ring_counts_.lookups;
     ring_counts_.late += trip.target > Span(0) && took > static_cast<double>(trip.target.count());
--- a/src/programs/rings.h
+++ b/src/programs/rings.h
@@ -8,6 +8,7 @@
 
 #include "coordination/agreement.h"
 #include "coordination/registry.h"
+#include "coordination/ring_moves.h"
 #include "protocol/session_wire.h"
 #include "state/types.h"
 #include "transport/ring.h"
@@ -41,8 +42,7 @@
 };
 struct NodeTold {  // envoy to agree: what a node of the ring said
   std::uint64_t token = 0;
-  bool is_done = false;
-  double share = 0;
+  NodeAnswer answer;
 };
 struct EnvoyOrder {  // agree to envoy
   std::uint64_t token = 0;
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -37,7 +37,9 @@
   std::string head = request.getMethod() + " " + request.getURI() + " HTTP/1.1\r\n";
   const std::string nominated = "," + lower(request.get("Connection", "")) + ",";
   for (const auto& [name, value] : request) {
-    if (is_hop_field(name) || is_same_name(name, field::time_left) || is_same_name(name, field::meant_server)) continue;
+    if (is_hop_field(name) || is_same_name(name, field::time_left) || is_same_name(name, field::meant_server) ||
+        is_same_name(name, field::ring_mark) || is_same_name(name, field::ring_show) || is_same_name(name, field::ring_hide))
+      continue;
     if (nominated.size() > 2 && nominated.find(lower(name)) != std::string::npos && !is_same_name(name, "Host") && !is_same_name(name, field::try_id))
       continue;
     ((head += name) += ": ") += value + "\r\n";
@@ -48,6 +50,16 @@
   return head;
 }
 
+// What a node of the ring is told: the sheet that the request goes by, and whether it shows the unit that is on the move.
+std::string ring_fields(const RingView& view, const std::string& node) {
+  const std::size_t index = view.map.index_of(node);
+  if (index == view.map.nodes.size()) return {};
+  std::string fields = std::string(field::ring_mark) + ": " + std::to_string(view.mark) + "\r\n";
+  if (const auto told = view.tellings.find(index); told != view.tellings.end())
+    fields += std::string(told->second.is_shown ? field::ring_show : field::ring_hide) + ": " + told->second.unit.text() + "\r\n";
+  return fields;
+}
+
 }  // namespace
 
 void Trip::on_due(Moment now) {
@@ -62,7 +74,7 @@
       ready_server_(poller_, schedule_, readiness_, 64, 1 << 20), views_(64, [this] { poller_.wake(); }),
       picker_({startup.locality, startup.region}, life.value),
       draw_(static_cast<std::uint32_t>(life.value)), aid_events_(4096, [this] { poller_.wake(); }), life_(life),
-      ring_news_(64, [this] { poller_.wake(); }), alert_rules_(4, [this] { poller_.wake(); }) {}
+      classes_(startup.heavy_times), ring_news_(64, [this] { poller_.wake(); }), alert_rules_(4, [this] { poller_.wake(); }) {}
 
 Fault Traffic::open() {
   if (Fault found = ready_server_.open(startup_.ready_check)) return found;
@@ -148,7 +160,9 @@
   server_.set_limits({limits.most_header_bytes, limits.most_body_bytes, limits.header_wait, limits.quiet});
 }
 
-void Traffic::on_request(Visit& visit, Moment now) {
+void Traffic::on_request(Visit& visit, Moment now) { begin(visit, 0, now); }
+
+void Traffic::begin(Visit& visit, int rounds, Moment now) {
   if (!view_->is_ready || !table_) {
     Reply reply = reply_of(Kind::not_ready);
     reply.fields += "Retry-After: 0.3\r\n";
@@ -157,7 +171,7 @@
   const auto& request = visit.request();
   const Rule* rule = table_->configuration->match(request.get("Host", ""), request.getURI());
   if (!rule) return visit.answer(reply_of(Kind::no_rule), now);
-  metrics().add(Metric::requests);
+  if (rounds == 0) metrics().add(Metric::requests);
   if (rule->rank >= alerts_.refuse_from()) {
     metrics().add(Metric::refusals);
     Reply reply = reply_of(Kind::overloaded);
@@ -168,7 +182,8 @@
   trip->try_id = request.get(field::try_id, "");
   if (trip->try_id.empty()) return visit.answer(reply_of(Kind::malformed, "a request needs its Try-Id"), now);
   std::optional<ServiceIndex> placed;
-  if (gate_.view() && rule->name == gate_.view()->map.rule && !place(visit, *rule, *trip, placed, now)) return;
+  trip->rounds = rounds;
+  if (is_of_ring(*rule) && !place(visit, *rule, *trip, placed, now)) return;
   trip->method = request.getMethod();
   trip->head_start = start_head(request, visit.body().size());
   trip->body = std::move(visit.body());
@@ -179,7 +194,7 @@
   trip->asker = std::move(errand);
   trips_[trip->errand] = trip;
   by_visit_[visit.id()] = trip->errand;
-  trip->errand->start(now);
+  trip->errand->start(now, rounds > 0);
   arrange(*trip);
 }
 
@@ -218,7 +233,9 @@
 
 std::string Traffic::head_for(const Trip& trip, const Backend& backend, Moment now) const {
   const auto left = std::max<std::int64_t>(1, span_between(now, trip.asker->cutoff()).count());
-  return trip.head_start + field::time_left + ": " + std::to_string(left) + "\r\n" + field::meant_server + ": " + backend.id + "\r\n\r\n";
+  std::string head = trip.head_start + field::time_left + ": " + std::to_string(left) + "\r\n" + field::meant_server + ": " + backend.id + "\r\n";
+  if (trip.ring) head += ring_fields(*trip.ring, backend.service);
+  return head + "\r\n";
 }
 
 bool Traffic::ask(Asker& asker, std::size_t part, Backend& backend, Moment now) {
@@ -269,9 +286,9 @@
 }
 
 PickResult Traffic::pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int most_connections,
-                         Moment now) {
+                         Moment now, const PickWish& wish) {
   const auto brokers = static_cast<int>(std::max<std::uint64_t>(1, view_->brokers));
-  return picker_.pick(backends, tried, std::max(1, most_connections * 4 / 5 / brokers), now);
+  return picker_.pick(backends, tried, std::max(1, most_connections * 4 / 5 / brokers), now, wish);
 }
 
 // One connection to each backend in use stays open: a further asking far away must not wait for a handshake.
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -10,6 +10,7 @@
 
 #include "coordination/aid.h"
 #include "coordination/alerts.h"
+#include "coordination/bulkhead.h"
 #include "coordination/errand.h"
 #include "programs/follower.h"
 #include "transport/caller.h"
@@ -27,9 +28,16 @@
   std::string route;  // of an aid: whom to answer
   std::unique_ptr<Asker> asker;
   Errand* errand = nullptr;  // the asker of a visit
-  // Of a request that the ring places:
-  std::optional<std::pair<VirtualNode, std::uint32_t>> place;  // virtual node and owner
+  RingSnapshot ring;  // of a request to nodes of the ring: the view it goes by
+  int rounds = 0;     // how often it has started anew
+  struct Place {
+    std::string key;
+    VirtualNode virtual_node;
+    std::uint32_t owner;
+  };
+  std::optional<Place> place;  // of a request that the ring places
   bool is_risky = false;
+  bool is_heavy = false;  // as its last part was asked, see coordination/bulkhead.h
   Moment began{};
   Span target{0};
   std::string method, try_id, head_start, body;  // head_start: the request's head but for what differs by backend
@@ -62,6 +70,7 @@
   Caller caller_;
   TripPointer trip_;  // null while idle
   std::size_t part_ = 0;
+  bool is_heavy_ = false;
   Moment asked_{};
   bool is_connect_checked_ = false;
 };
@@ -97,7 +106,9 @@
   Budget& budget(const std::string& service) override;
   double reserve(Moment now) override { return view_->reserve.part(now); }
   PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int most_connections,
-                  Moment now) override;
+                  Moment now, const PickWish& wish) override;
+  PickWish wish(const Errand& errand, const std::string& service, Moment now) override;
+  bool wait_turn(Errand& errand, Moment now) override;
   Pace& pace(const Rule& rule) override { return paces_[rule.name + rule.host + rule.path_start]; }
   double draw() override { return std::uniform_real_distribution<double>(0, 1)(draw_); }
 
@@ -123,7 +134,9 @@
     VisitId visit;
     void on_due(Moment now) override;
   };
-  // False: it was parked or refused.
+  void begin(Visit& visit, int rounds, Moment now);
+  bool is_of_ring(const Rule& rule) const;
+  bool restart(const TripPointer& trip, Moment now);
   bool place(Visit& visit, const Rule& rule, Trip& trip, std::optional<ServiceIndex>& service, Moment now);
   void take_ring(RingNews news, Moment now);
   void leave_place(const Trip& trip, Moment now);
@@ -138,6 +151,14 @@
   void check_leaving(Moment now);
   void show_gauges() const;
 
+  void note_work(const Trip& trip, const Backend& backend, Span took, std::size_t bytes, Moment now);
+  void serve_turns(std::size_t most, Moment now);
+  struct TurnClock final : Scheduled {
+    explicit TurnClock(Traffic& traffic) : traffic(traffic) {}
+    Traffic& traffic;
+    void on_due(Moment now) override { traffic.serve_turns(most_waiting, now); }
+  };
+  static constexpr std::size_t most_waiting = 256;
   struct AlertClock final : Scheduled {
     explicit AlertClock(Traffic& traffic) : traffic(traffic) {}
     Traffic& traffic;
@@ -194,6 +215,9 @@
   Ring<std::vector<AlertRule>> alert_rules_;
   Alerts alerts_;
   AlertClock alert_clock_{*this};
+  WorkClasses classes_;
+  TurnQueue<const Asker*> turns_{most_waiting, 4};  // short ones get four turns to one
+  TurnClock turn_clock_{*this};
   bool is_leaving_ = false;
   Moment left_{};
   std::atomic<bool> should_leave_ = false;
--- a/src/programs/wire.cpp
+++ b/src/programs/wire.cpp
@@ -14,6 +14,7 @@
 constexpr Span past_cutoff{100};       // how long an asking is still waited for after its errand's cutoff
 constexpr Span longest_idle{10000};
 constexpr Span borrowed_idle{300};     // of a connection that others need as well
+constexpr std::size_t turns_at_once = 4;  // when a slot came free
 constexpr double stalled_times = 6;    // so many times the usual, and at least stalled_least: it stalls
 constexpr Span stalled_least{300};
 
@@ -48,6 +49,9 @@
 bool Wire::ask(TripPointer trip, std::size_t part, Moment now) {
   const std::string head = traffic_.head_for(*trip, *backend_, now);
   if (!caller_.ask(trip->body.empty() ? head : head + trip->body, trip->method == "HEAD", trip->try_id)) return false;
+  is_heavy_ = trip->is_heavy;
+  if (is_heavy_) ++backend_->heavy_asked;
+  else backend_->short_asked = now;
   trip_ = std::move(trip);
   part_ = part;
   asked_ = now;
@@ -60,6 +64,7 @@
 
 TripPointer Wire::release() {
   --backend_->asked;
+  if (is_heavy_) --backend_->heavy_asked;
   traffic_.schedule_.drop(*this);
   return std::move(trip_);
 }
@@ -121,6 +126,7 @@
   else if (!outcome.is_not_run) {
     backend_->breaker.succeed();
     if (is_success) backend_->see_outcome(static_cast<double>(took.count()));
+    if (is_success) traffic_.note_work(*trip_, *backend_, took, caller.reader().body().size(), now);
   }
   if (!trip_->asker->is_gathering()) {
     outcome.reason = response.getReason();
@@ -136,8 +142,10 @@
   } else {
     rest(now, backend_->is_own || !backend_->is_scarce ? idle : std::min(idle, borrowed_idle));
   }
+  if (outcome.is_not_run && trip->ring && traffic_.restart(trip, now)) return;
   trip->asker->take_outcome(part, std::move(outcome), took, now);
   traffic_.arrange(*trip);
+  if (!traffic_.turns_.is_empty()) traffic_.serve_turns(turns_at_once, now);
 }
 
 void Wire::on_breakdown(Caller& caller, Kind kind, Moment now) {
--- a/src/protocol/calls.h
+++ b/src/protocol/calls.h
@@ -43,6 +43,9 @@
 inline constexpr const char* part_seals = "Part-Seals";
 inline constexpr const char* duty_owner = "Duty-Owner";
 inline constexpr const char* owner_number = "Owner-Number";
+inline constexpr const char* ring_mark = "Ring-Mark";  // to nodes of the ring: the sheet that the request goes by
+inline constexpr const char* ring_show = "Ring-Show";  // of the unit on the move there: it is part of this answer,
+inline constexpr const char* ring_hide = "Ring-Hide";  // or not
 inline constexpr const char* parts_missing = "Parts-Missing";
 }  // namespace field
 
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -3,7 +3,7 @@
 namespace saddlewing {
 namespace {
 
-constexpr std::uint64_t protocol_number = 0x5357'0002;
+constexpr std::uint64_t protocol_number = 0x5357'0003;
 
 Writer open_frame(const FrameHead& head, FrameKind kind) {
   Writer writer;
@@ -109,7 +109,7 @@
   writer.number(value.edition.value).number(value.roster_life).number(value.roster_mark).number(value.wants_body).number(value.wants_roster);
   writer.text(value.region).number(value.is_ready).number(value.seats_mark);
   writer.number(value.token).number(value.leads_mark).text(value.locality).text(value.failing).text(value.fine).text(value.samples);
-  writer.number(value.samples_age).number(value.ring_mark).number(value.ring_held).text(value.ring_loads).number(value.lookups).number(value.late_lookups).number(value.echo).number(value.gap);
+  writer.number(value.samples_age).number(value.ring_mark).number(value.ring_held).text(value.ring_loads).text(value.account_loads).number(value.lookups).number(value.late_lookups).number(value.echo).number(value.gap);
   return writer.take();
 }
 
@@ -132,6 +132,7 @@
   value.ring_mark = reader.number();
   value.ring_held = reader.number();
   value.ring_loads = reader.text();
+  value.account_loads = reader.text();
   value.lookups = reader.number();
   value.late_lookups = reader.number();
   value.echo = reader.number();
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -85,6 +85,7 @@
   std::uint64_t ring_mark = 0;   // of the sheet it acts by alone
   std::uint64_t ring_held = 0;   // of the sheet it has
   std::string ring_loads;        // what it sent to each virtual node since its last follow
+  std::string account_loads;     // the same of its busiest accounts
   std::uint64_t lookups = 0, late_lookups = 0;  // short ones, and how many of them missed their aim
   std::uint64_t echo = 0, gap = 0;  // the last beat heard of this registry, and milliseconds since
 };
--- a/src/state/ring.cpp
+++ b/src/state/ring.cpp
@@ -12,7 +12,8 @@
 namespace saddlewing {
 namespace {
 
-constexpr std::size_t most_nodes = 1000, most_virtual = 65536;
+constexpr std::size_t most_nodes = 1000, most_virtual = 65536, most_sized = 4096;
+constexpr std::uint64_t sheet_form = 2;  // of a sheet that knows accounts; those before it end with the moves
 
 std::uint64_t digest(std::string_view text, std::uint64_t seed = 0) { return XXH64(text.data(), text.size(), seed); }
 
@@ -63,6 +64,8 @@
   const auto count = static_cast<std::size_t>(top.number("virtual_nodes", 1, static_cast<double>(most_virtual), 128, false));
   read.memory_mb = top.number("virtual_node_memory_mb", 0, 1e9, read.memory_mb, false);
   read.disk_mb = top.number("virtual_node_disk_mb", 0, 1e12, read.disk_mb, false);
+  read.account_memory_mb = top.number("account_memory_mb", 0, 1e9, read.account_memory_mb, false);
+  read.account_disk_mb = top.number("account_disk_mb", 0, 1e12, read.account_disk_mb, false);
   if (!root["nodes"] || !root["nodes"].IsSequence() || root["nodes"].size() == 0) top.fail("nodes is not a list");
   if (!first.empty()) return fault(Kind::invalid, first);
   if (root["nodes"].size() > most_nodes) return fault(Kind::invalid, "nodes are too many");
@@ -73,7 +76,7 @@
     const YamlFields fields{value, "nodes[" + std::to_string(read.nodes.size()) + "] " + name + ": ", first};
     RingNode node;
     node.name = fields.text("name");
-    node.locality = fields.text("locality");
+    node.zone = fields.text(value["locality"] && !value["zone"] ? "locality" : "zone");  // as files of before name it
     if (value["region"]) node.region = fields.text("region");
     node.weight = fields.number("weight", 0.001, 1000, 1, false);
     node.memory_mb = fields.number("memory_mb", 1, 1e9, 0, true);
@@ -95,6 +98,17 @@
         else read.sizes[virtual_node] = {fields.number("memory_mb", 0, 1e9, read.memory_mb, false), fields.number("disk_mb", 0, 1e12, read.disk_mb, false)};
       }
   }
+  if (root["accounts"]) {
+    if (!root["accounts"].IsMap() || root["accounts"].size() > most_sized) top.fail("accounts is not a map, or too long");
+    else
+      for (const auto& item : root["accounts"]) {
+        const std::string name = item.first.IsScalar() ? item.first.Scalar() : std::string();
+        const YamlFields fields{item.second, "accounts " + name + ": ", first};
+        if (!is_account_form(name)) fields.fail("is no account");
+        else if (!item.second.IsMap()) fields.fail("is not a map");
+        else read.account_sizes[name] = {fields.number("memory_mb", 0, 1e9, read.account_memory_mb, false), fields.number("disk_mb", 0, 1e12, read.account_disk_mb, false)};
+      }
+  }
   if (!first.empty()) return fault(Kind::invalid, first);
   for (VirtualNode virtual_node = 0; virtual_node < count; ++virtual_node) {
     read.owners.push_back(choose_owner(read.nodes, virtual_node));
@@ -111,6 +125,19 @@
   return place == points.end() ? points.front().second : place->second;
 }
 
+bool is_account_form(std::string_view text) {
+  if (text.empty() || text.size() > 128) return false;
+  return std::all_of(text.begin(), text.end(), [](char letter) {
+    return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z') || (letter >= '0' && letter <= '9') ||
+           std::string_view("-._~%!$&'()*+,;=:@").find(letter) != std::string_view::npos;
+  });
+}
+
+std::uint32_t RingMap::owner_of(std::string_view key) const {
+  if (const auto found = placed.find(key); found != placed.end()) return found->second;
+  return owners[find(key)];
+}
+
 std::size_t RingMap::index_of(const std::string& node) const {
   const auto found = std::find_if(nodes.begin(), nodes.end(), [&](const RingNode& one) { return one.name == node; });
   return static_cast<std::size_t>(found - nodes.begin());
@@ -121,6 +148,22 @@
   return found == sizes.end() ? std::pair(memory_mb, disk_mb) : found->second;
 }
 
+std::pair<double, double> RingMap::size_of(const RingUnit& unit) const {
+  if (!unit.is_account()) return size_of(unit.virtual_node);
+  const auto found = account_sizes.find(unit.account);
+  return found == account_sizes.end() ? std::pair(account_memory_mb, account_disk_mb) : found->second;
+}
+
+std::pair<double, double> RingMap::used_of(std::size_t node) const {
+  std::pair<double, double> used;
+  const auto add = [&](const std::pair<double, double>& size) { used.first += size.first, used.second += size.second; };
+  for (VirtualNode virtual_node = 0; virtual_node < owners.size(); ++virtual_node)
+    if (owners[virtual_node] == node) add(size_of(virtual_node));
+  for (const auto& [account, owner] : placed)
+    if (owner == node) add(size_of(RingUnit{0, account}));
+  return used;
+}
+
 bool RingMap::key_of(std::string_view path, std::string_view path_start, std::string_view& key) const {
   path = path.substr(0, path.find('?'));
   if (!path.starts_with(path_start)) return false;
@@ -149,7 +192,8 @@
   Writer writer;
   writer.number(sheet.mark).text(sheet.file).number(sheet.moved.size());
   for (const auto& [virtual_node, owner] : sheet.moved) writer.number(virtual_node).text(owner);
-  writer.text(sheet.moves);
+  writer.text(sheet.moves).number(sheet_form).number(sheet.placed.size());
+  for (const auto& [account, owner] : sheet.placed) writer.text(account).text(owner);
   return writer.take();
 }
 
@@ -163,6 +207,12 @@
     sheet.moved[virtual_node] = reader.text();
   }
   sheet.moves = reader.text();
+  if (reader.is_whole()) return true;  // written before accounts moved
+  if (reader.number() != sheet_form) return false;
+  for (std::uint64_t left = reader.count(16); left > 0; --left) {
+    std::string account = reader.text();
+    sheet.placed[std::move(account)] = reader.text();
+  }
   return reader.is_whole();
 }
 
@@ -171,6 +221,8 @@
   for (const auto& [virtual_node, owner] : sheet.moved)
     if (const std::size_t index = ring.index_of(owner); index < ring.nodes.size() && virtual_node < ring.owners.size())
       ring.owners[virtual_node] = static_cast<std::uint32_t>(index);
+  for (const auto& [account, owner] : sheet.placed)
+    if (const std::size_t index = ring.index_of(owner); index < ring.nodes.size()) ring.placed[account] = static_cast<std::uint32_t>(index);
   return {};
 }
 
--- a/src/state/startup.cpp
+++ b/src/state/startup.cpp
@@ -194,6 +194,8 @@
   reader.text("options.alert_rules", read.alert_rules, false);
   reader.span("options.rollout_wait_ms", read.rollout_wait);
   reader.span("options.lead_hold_ms", read.lead_hold);
+  reader.number("options.heavy_times", read.heavy_times, 0, 1000);
+  if (read.heavy_times > 0 && read.heavy_times < 1.5) reader.fail("options.heavy_times is between 0 and 1.5");
   reader.span("options.unconfirmed_wait_ms", read.unconfirmed_wait);
   if (read.election < read.beat * 3) reader.fail("options.election_ms is under three times options.beat_ms");
   if (read.rollout_wait * 3 > read.take_effect) reader.fail("options.rollout_wait_ms is over a third of time_bounds.take_effect_ms");
--- a/src/state/startup.h
+++ b/src/state/startup.h
@@ -50,6 +50,7 @@
   Span rollout_wait{400};               // a new edition waits this long for brokers that do not hold it yet
   std::string alert_rules;              // path of a file; empty: none
   Span lead_hold{3000};                 // how long a pooler may use the leads it was told of
+  double heavy_times = 0;               // so many times the lightest route's work makes a route heavy; 0: bulkheads are off
   Span unconfirmed_wait{2000};          // then a broker serves by what any registry holds committed
 };
 
--- a/tests/aid_test.cpp
+++ b/tests/aid_test.cpp
@@ -94,8 +94,9 @@
     asked.push_back(part);
     return true;
   }
-  PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int, Moment now) override {
-    return picker_.pick(backends, tried, 1000, now);
+  PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int, Moment now,
+                  const PickWish& wish) override {
+    return picker_.pick(backends, tried, 1000, now, wish);
   }
   void send_aided(AidWork&, Aided aided, Moment) override { frames.push_back(std::move(aided)); }
   std::vector<std::size_t> asked;
--- a/tests/ring_test.cpp
+++ b/tests/ring_test.cpp
@@ -65,17 +65,18 @@
 
 Test(ring, a_node_more_moves_little_and_a_moved_owner_outlives_a_new_file) {
   const RingMap before = ring_for(ring_file(four));
-  const RingMap after = ring_for(ring_file(four + "- {name: e, locality: x, memory_mb: 900, disk_mb: 9000}\n"));
+  const RingMap after = ring_for(ring_file(four + "- {name: e, zone: x, memory_mb: 900, disk_mb: 9000}\n"));
   std::size_t moved = 0;
   for (VirtualNode one = 0; one < before.owners.size(); ++one) {
     moved += before.owner(one).name != after.owner(one).name;
     cr_expect(before.owner(one).name == after.owner(one).name || after.owner(one).name == "e");
   }
   cr_expect(moved > 0 && moved < 28, "%zu of 64", moved);
-  RingSheet sheet{4, ring_file(four), {{7, "d"}, {8, "gone"}}, {}}, read;
+  RingSheet sheet{4, ring_file(four), {{7, "d"}, {8, "gone"}}, {}, {{"camper-7", "c"}, {"camper-8", "gone"}}}, read;
   RingMap ring;
   cr_assert(decode_ring(encode_ring(sheet), read) && !ring_of(read, ring));
   cr_expect(ring.owner(7).name == "d" && ring.owner(8).name == before.owner(8).name);
+  cr_expect(ring.nodes[ring.owner_of("camper-7")].name == "c" && ring.owner_of("camper-8") == ring.owners[ring.find("camper-8")]);
   std::string_view key;
   cr_expect(ring.key_of("/l/park-9/2f?x=1", "/l/", key) && key == "park-9");
   cr_expect(!ring.key_of("/l/", "/l/", key));
@@ -93,7 +94,7 @@
   for (int round = 0; round < 40 && !report.proposals.empty(); ++round) {
     std::map<std::string, double> expected;
     for (const MoveProposal& proposal : report.proposals) {
-      ring.owners[proposal.virtual_node] = static_cast<std::uint32_t>(ring.index_of(proposal.to));
+      ring.owners[proposal.unit.virtual_node] = static_cast<std::uint32_t>(ring.index_of(proposal.to));
       expected[proposal.from] = proposal.share_from;
       expected[proposal.to] = proposal.share_to;
     }
@@ -127,14 +128,14 @@
 
 Test(ring, far_and_slow_nodes_get_what_is_left) {
   const RingMap ring = ring_for(ring_file(four));
-  cr_expect(move_cost(ring, 0, 0, 2, {}) > 20 * move_cost(ring, 0, 0, 1, {}));
+  cr_expect(move_cost(ring, RingUnit{}, 0, 2, {}) > 20 * move_cost(ring, RingUnit{}, 0, 1, {}));
   RingWatch watch{WatchOptions{}};
   const RingReport report = watch.report(ring, hot_loads(ring, "a"));
   cr_assert(!report.proposals.empty());
   cr_expect(report.proposals[0].to == "b");
   for (const MoveProposal& proposal : report.proposals) cr_expect(proposal.to != "d", "it has no memory for more");
   for (const auto& again = watch.report(ring, hot_loads(ring, "a")); const MoveProposal& proposal : again.proposals)
-    cr_expect(proposal.virtual_node == report.proposals[static_cast<std::size_t>(&proposal - again.proposals.data())].virtual_node, "the same each time");
+    cr_expect(proposal.unit == report.proposals[static_cast<std::size_t>(&proposal - again.proposals.data())].unit, "the same each time");
 }
 
 Test(ring, a_move_that_cannot_be_is_refused_with_the_reason) {
@@ -143,13 +144,19 @@
   RingMoves moves{MoveOptions{}};
   VirtualNode of_a = 0;
   while (ring.owner(of_a).name != "a") ++of_a;
-  cr_expect(moves.request(99, "b", ring, serving) == "there is no such virtual node");
-  cr_expect(moves.request(of_a, "z", ring, serving) == "z is no node of the ring");
-  cr_expect(moves.request(of_a, "a", ring, serving) == "a owns it already");
-  cr_expect(moves.request(of_a, "c", ring, serving) == "c is emptying or silent");
-  cr_expect(moves.request(of_a, "d", ring, serving) == "d has no memory for it");
-  cr_expect(moves.request(of_a, "b", ring, serving).empty());
-  cr_expect(moves.request(of_a, "b", ring, serving) == "another move is under way on one of its nodes");
+  cr_expect(moves.request(RingUnit{99, {}}, "b", ring, serving) == "there is no such virtual node");
+  cr_expect(moves.request(RingUnit{of_a, {}}, "z", ring, serving) == "z is no node of the ring");
+  cr_expect(moves.request(RingUnit{of_a, {}}, "a", ring, serving) == "a owns it already");
+  cr_expect(moves.request(RingUnit{of_a, {}}, "c", ring, serving) == "c is emptying or silent");
+  cr_expect(moves.request(RingUnit{of_a, {}}, "d", ring, serving) == "d has no memory for it");
+  cr_expect(moves.request(RingUnit{of_a, {}}, "b", ring, serving).empty());
+  cr_expect(moves.request(RingUnit{of_a, {}}, "b", ring, serving) == "it is on the move already");
+  VirtualNode other = of_a + 1;
+  while (ring.owner(other).name != "a") ++other;
+  cr_expect(moves.request(RingUnit{other, {}}, "b", ring, serving) == "another move is under way on one of its nodes; `ring queue` waits for it");
+  cr_expect(moves.request(RingUnit{other, {}}, "b", ring, serving, true).empty());
+  cr_expect(moves.request(RingUnit{0, "a/b"}, "b", ring, serving) == "that is no account");
+  cr_expect(moves.request(RingUnit{0, ""}, "b", ring, serving) != "");
   cr_expect(moves.undo(5) == "there is no such move");
 }
 
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -47,11 +47,17 @@
   }
   Budget& budget(const std::string& service) override { return budgets_.try_emplace(service, Span(10000), 0.2).first->second; }
   double reserve(Moment) override { return extra_reserve; }
-  PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int, Moment now) override {
-    return picker_.pick(backends, tried, 1000, now);
+  PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int, Moment now,
+                  const PickWish& wish) override {
+    return picker_.pick(backends, tried, 1000, now, wish);
   }
   AidTaken call_aid(Errand&, Span, Moment) override { return {aided_parts, "far"}; }
   void miss_aid(Errand&, Moment) override { ++missed_aids; }
+  PickWish wish(const Errand&, const std::string&, Moment) override { return own_wish; }
+  bool wait_turn(Errand&, Moment) override {
+    ++turns_wanted;
+    return has_turns;
+  }
   Pace& pace(const Rule&) override { return pace_; }
   double draw() override { return 0.5; }
 
@@ -68,6 +74,9 @@
   int answers = 0, missed_aids = 0;
   std::vector<std::size_t> aided_parts;
   double extra_reserve = 10;
+  PickWish own_wish;
+  bool has_turns = false;
+  int turns_wanted = 0;
   std::unique_ptr<Errand> errand;
 
  private:
