One shared, fading view of how fast each edge answers each region

Each broker judged backends by what it saw itself. Change: brokers count answer times by service, zone and class; registries add up, the leader judges with hysteresis, room and trials, and all brokers turn together by the rollout that configurations use. Off unless options.edges is set.

--- a/src/coordination/backend.cpp
+++ b/src/coordination/backend.cpp
@@ -11,6 +11,8 @@
 constexpr double guess_ms = 20;                        // of a backend not heard yet
 constexpr double locality_ms = 3, region_ms = 40;      // what bytes across them are taken to cost, beyond their time
 constexpr double other_ms = 4, scarce_ms = 60;         // against those that are not one's own
+constexpr double avoided_ms = 5000, preferred_ms = -2, trial_ms = -1000;  // by the shared view of edges
+constexpr Span trial_pause{250};
 constexpr std::size_t most_own = 2;
 
 }  // namespace
@@ -46,6 +48,13 @@
   return cost;
 }
 
+// What the shared view adds. It orders, it never forbids: where nothing else is left, an avoided edge serves.
+double Picker::edge_cost(const Backend& backend, const PickWish& wish, Moment now) {
+  if (backend.is_avoided) return backend.is_trying && wish.may_try && now >= backend.trial_due ? trial_ms : avoided_ms * influence_;
+  if (backend.percent_kept < 100 && draw_() % 100 >= backend.percent_kept) return avoided_ms * influence_;
+  return backend.is_preferred ? preferred_ms * influence_ : 0;
+}
+
 void choose_own(const std::vector<BackendPointer>& backends, const PickPlace& place, const std::string& address, int most_connections, int brokers) {
   using Rank = std::tuple<int, std::size_t, Backend*>;
   std::vector<Rank> ranks;
@@ -87,7 +96,7 @@
       continue;
     }
     const int rank = backend.status == Status::up ? 1 : 0;
-    const double cost = this->cost(backend, now) * (1 + static_cast<double>(draw_() % 64) / 1024);
+    const double cost = edge_cost(backend, wish, now) + this->cost(backend, now) * (1 + static_cast<double>(draw_() % 64) / 1024);
     if (!best || rank > best_class || (rank == best_class && cost < best_cost)) {
       best = &backend;
       best_cost = cost;
@@ -96,6 +105,7 @@
   }
   // Breakers alone never empty a shard.
   result.backend = best || has_to_wait ? best : least_broken;
+  if (result.backend && result.backend->is_avoided) result.backend->trial_due = now + trial_pause;
   if (result.backend && result.backend->breaker.is_on_trial(now)) result.backend->breaker.start_trial(now);
   return result;
 }
--- a/src/coordination/backend.h
+++ b/src/coordination/backend.h
@@ -64,6 +64,10 @@
   }
   double mean_ms = 0;         // of its outcomes; 0: none yet
   double least_ms = 0;        // near the least of them: mostly the way there and back
+  // By the shared view of edges, see coordination/edges.h:
+  bool is_avoided = false, is_preferred = false, is_trying = false;
+  unsigned percent_kept = 100;
+  Moment trial_due{};         // when this broker next tries it although it is avoided
   Breaker breaker;
   void see_outcome(double milliseconds) {
     least_ms = mean_ms == 0 || milliseconds < least_ms ? milliseconds : least_ms + (milliseconds - least_ms) * 0.01;
@@ -102,17 +106,21 @@
 struct PickWish {
   bool is_heavy = false;
   Span short_work{0}, waited{0};  // of the short requests there; of this one so far
+  bool may_try = false;           // harmless and with time left: it may try an avoided edge
 };
 
 // The least expected time among UP backends; STARTING ones only where none is UP.
 class Picker {
  public:
   Picker(PickPlace place, std::uint64_t draw) : place_(std::move(place)), draw_(draw) {}
+  void set_influence(double influence) { influence_ = influence; }  // of the shared view: 1 whole, 0 none
   PickResult pick(const std::vector<BackendPointer>& backends, const std::vector<const Backend*>& tried, int most_connections, Moment now,
                   const PickWish& wish = {});
 
  private:
   double cost(const Backend& backend, Moment now) const;
+  double edge_cost(const Backend& backend, const PickWish& wish, Moment now);
+  double influence_ = 1;
   PickPlace place_;
   std::minstd_rand draw_;
 };
--- a/src/programs/aids.cpp
+++ b/src/programs/aids.cpp
@@ -8,10 +8,17 @@
 
 constexpr std::size_t least_parts = 2;  // for a single part a broker between saves nothing
 constexpr std::int64_t frame_margin_ms = 4;
+constexpr double avoided_ms = 5000;      // by the shared view of edges
 constexpr int unnamed_connections = 16;  // to a service that this broker's configuration does not name
 
 }  // namespace
 
+std::string Traffic::region_of_aide(const std::string& address) const {
+  for (const BrokerSeat& seat : view_->seats)
+    if (seat.address == address) return seat.region;
+  return {};
+}
+
 bool Traffic::is_near(const Backend& backend, const std::string& region, Moment now) const {
   return !backend.is_cancelled && backend.status == Status::up && backend.region == region && !backend.breaker.is_open(now);
 }
@@ -44,7 +51,10 @@
           covered->second.push_back(index);
       }
     const std::vector<std::size_t>& parts = covered->second;
-    const double cost = (aide.mean_ms + 10) * (1 + aide.under_way) * (1 + draw() * 0.1);
+    double cost = (aide.mean_ms + 10) * (1 + aide.under_way) * (1 + draw() * 0.1);
+    if (startup_.has_edges)
+      if (const auto standing = edge_gate_.standing("", seat.region, std::max<std::uint64_t>(1, view_->brokers)); standing.verdict == EdgeState::Verdict::avoided && !standing.is_trying)
+        cost += avoided_ms * edge_gate_.influence(now);
     if (parts.size() < least_parts || parts.size() < best_parts.size()) continue;
     if (parts.size() > best_parts.size() || cost < best_cost) {
       best_parts = parts;
@@ -80,6 +90,7 @@
     Aide& aide = aides_[call->second.to];
     --aide.under_way;
     aide.breaker.fail(now, false);
+    count_edge("", region_of_aide(call->second.to), EdgeClass::light, span_between(call->second.asked, now), true);
     aid_calls_.erase(call);
   }
   aid_tokens_.erase(token);
@@ -108,6 +119,7 @@
     for (Aided::Done& done : came->aided.done) place(done.part);
     for (Aided::Failed& failed : came->aided.failed) place(failed.part);
     aide.breaker.succeed();
+    count_edge("", region_of_aide(call->second.to), EdgeClass::light, took, false);
     const double way = std::max(0.0, static_cast<double>(took.count()) - static_cast<double>(came->aided.held));
     aide.way_ms = aide.way_ms == 0 ? way : aide.way_ms * 0.9 + way * 0.1;
     aide.mean_ms = aide.mean_ms == 0 ? static_cast<double>(took.count()) : aide.mean_ms * 0.9 + static_cast<double>(took.count()) * 0.1;
--- a/src/programs/broker_program.cpp
+++ b/src/programs/broker_program.cpp
@@ -22,6 +22,7 @@
   Follower follower(startup, life, [&traffic](ViewCapture view) { traffic.show(std::move(view)); },
                     [&traffic](AidEvent event) { traffic.tell(std::move(event)); });
   follower.set_ring([&traffic](RingNews news) { traffic.turn_ring(std::move(news)); });
+  if (startup.has_edges) follower.set_edges([&traffic](EdgeNews news) { traffic.turn_edges(std::move(news)); });
   traffic.set_follower(follower);
   traffic.set_sender([&follower](AidOut out) { return follower.send(std::move(out)); });
   for (const Fault& found : {follower.open(), traffic.open()})
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -49,7 +49,8 @@
       events_(4096, [this] { waker_.wake(); }), contacts_(4, [this] { waker_.wake(); }),
       agreement_(std::move(durable), agreement_options(startup, life, address_),
                  inner_addresses(startup.contacts, startup.inner_port), Clock::now()),
-      registry_(registry_options(startup)), failover_(failover_options(startup)), ring_moves_(move_options(startup)), rollout_(startup.rollout_wait),
+      registry_(registry_options(startup)), failover_(failover_options(startup)), ring_moves_(move_options(startup)), edge_judge_(edge_options(startup)),
+      edge_rollout_(startup.rollout_wait), rollout_(startup.rollout_wait),
       grants_(startup.extra_tries, startup.follow * 5, startup.retry_span), steps_(most_steps) {}
 
 Fault Core::open() { return hub_.open(context_, Address{startup_.ip_address, startup_.inner_port}); }
@@ -108,6 +109,7 @@
     tend_registry(now);
     tend_databases(now);
     tend_ring(now);
+    tend_edges(now);
     grants_.lead(agreement_.is_leader() && agreement_.is_confirmed(now), now);
     tend_brokers(now);
     tend_rollout(now);
@@ -187,6 +189,18 @@
         if ((is_good = decode(reader, call))) take_ring_call(parcel.route, call, now);
         break;
       }
+      case FrameKind::edge_sums: {
+        EdgeSums sums;
+        if ((is_good = decode(reader, sums)) && agreement_.is_leader())
+          for (const auto& [region, counts] : sums.regions)
+            if (!edge_judge_.add(region, counts, now)) metrics().add(Metric::edge_frames_dropped);
+        break;
+      }
+      case FrameKind::edge_view: {
+        EdgeViewFrame frame;
+        if ((is_good = decode(reader, frame))) take_edge_view(frame, now);
+        break;
+      }
       case FrameKind::renewed: {
         RenewedIds renewed;
         if ((is_good = decode(reader, renewed)))
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "coordination/agreement.h"
+#include "coordination/edges.h"
 #include "coordination/failover.h"
 #include "coordination/grants.h"
 #include "coordination/registry.h"
@@ -60,6 +61,7 @@
     std::uint64_t sent_mark = 0;
     bool wants_roster = false, is_pooler = false;
     std::uint64_t token = 0, leads_mark = 0;  // of its last follow
+    std::uint64_t edges_held = 0;
     std::map<std::uint64_t, Moment> beats;    // when the last few left, by serial
     Moment heard;
   };
@@ -96,6 +98,10 @@
   std::string show_ring(bool has_proposals, Moment now);
   void tend_ring(Moment now);
   void take_ring_follow(const FrameHead& from, const Follow& follow, Beat& beat, Moment now);
+  void tend_edges(Moment now);
+  void take_edge_follow(const Follow& follow, Broker& broker);
+  void take_edge_view(const EdgeViewFrame& frame, Moment now);
+  std::string show_edges(Moment now) const;
   void take_pooler(const FrameHead& from, const Follow& follow, Broker& broker, Beat& beat, Moment now);
   void send_to(const std::string& address, const std::string& bytes);
   void reach(const std::string& address);
@@ -132,6 +138,11 @@
   Moment ring_due_{}, ring_watched_{};
   bool is_ring_over_ = false;
   EntryCapture ring_seen_;
+  EdgeJudge edge_judge_;
+  std::map<std::string, EdgeCounts> edge_counts_;  // by region of the brokers fed here
+  Rollout edge_rollout_;
+  std::string edges_text_;
+  Moment edges_due_{}, edges_told_{};
   Samples samples_;         // of the poolers fed here
   std::uint64_t last_beat_ = 0;
   Term led_term_;           // the last term the failover knew of
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -111,6 +111,10 @@
     beat.grant_valid = static_cast<std::uint64_t>(grants_.valid().count());
   }
   if (beat.seats_mark == to.seats_mark) beat.seats.clear();
+  if (startup_.has_edges && beat.is_leader && beat.is_confirmed && !to.is_pooler) {
+    beat.edges_in_force = static_cast<std::uint64_t>(edge_rollout_.in_force().value);
+    if (to.edges_held < edge_judge_.view()->mark) beat.edges = edges_text_;
+  }
   beat.leads_mark = leads_.mark;
   if (to.is_pooler && to.leads_mark < leads_.mark) beat.leads = leads_text_;
   if (to.is_pooler && to.wants_roster) {
@@ -138,6 +142,7 @@
   Beat beat;
   if (!follow.locality.empty()) take_pooler(from, follow, broker, beat, now);
   else take_ring_follow(from, follow, beat, now);
+  if (startup_.has_edges && !broker.is_pooler) take_edge_follow(follow, broker);
   send_beat(broker, true, now, std::move(beat));
   if (follow.wants_body && configuration_ && configuration_->edition > follow.edition)
     hub_.send(route, encode(head(), Body{configuration_->edition, packed_}));
--- a/src/programs/core_ring.cpp
+++ b/src/programs/core_ring.cpp
@@ -166,6 +166,7 @@
   const auto refuse = [](const std::string& reason) { return RingAnswer{false, {}, reason, {}}; };
   if (!agreement_.is_leader()) return {false, agreement_.leader_address(), "another registry leads", {}};
   if (!agreement_.is_leased(now)) return refuse("no majority of the core answers");
+  if (call.verb == "edges") return startup_.has_edges ? RingAnswer{true, {}, {}, show_edges(now)} : refuse("the view of edges is off (options.edges)");
   if (call.verb == "apply") {
     RingMap ring;
     if (Fault found = check_ring(call.text, ring)) return refuse(found.step);
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -142,6 +142,7 @@
   if (beat.is_leader) turnover_.see_in_force(beat.in_force);
   if (hold_) take_hold(source, beat, now);
   if (ring_) take_ring(beat);
+  if (edges_ && beat.is_leader && beat.is_confirmed) take_edges(beat);
   if (!is_ready_) choose_feed(now);
   if (beat.grant_valid) {  // its span runs from the leader's sending, which is after our follow
     reserve_.take(static_cast<double>(beat.grant) / 1000, Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.grant_valid, 60000))), followed_);
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/edges.h"
 #include "coordination/grants.h"
 #include "coordination/ring_gate.h"
 #include "coordination/registry.h"
@@ -60,6 +61,12 @@
   std::uint64_t lookups = 0, late = 0;
 };
 
+// The view of edges, as a registry told it.
+struct EdgeNews {
+  EdgeSnapshot view;  // null: as before
+  std::uint64_t in_force = 0;
+};
+
 // Frames between brokers, handed over by the traffic thread.
 struct AidOut {
   std::string to;           // inner address for an aid, route for its outcome
@@ -103,6 +110,8 @@
   void confirm_ring(std::uint64_t mark) {
     if (ring_confirmed_.exchange(mark) != mark) waker_.wake();
   }
+  void set_edges(std::function<void(EdgeNews)> edges) { edges_ = std::move(edges); }
+  void report_edges(std::string counts) { edge_counts_.push(std::move(counts)); }
   void report_ring(RingCounts counts) { ring_counts_.push(std::move(counts)); }
   void report(Evidence evidence) { evidence_.push(std::move(evidence)); }
   void set_contacts(const std::vector<Address>& contacts) {
@@ -172,6 +181,11 @@
   std::function<void(HoldNews)> hold_;
   std::function<void(SampleNews)> sample_;
   std::function<void(RingNews)> ring_;
+  void take_edges(const Beat& beat);
+  std::function<void(EdgeNews)> edges_;
+  Ring<std::string> edge_counts_{8, {}};
+  EdgeCounts edge_sums_{4096};  // until the feed has them
+  std::uint64_t edges_held_ = 0;
   Ring<RingCounts> ring_counts_{64, {}};
   std::atomic<std::uint64_t> ring_confirmed_ = 0;
   std::uint64_t ring_told_ = 0, ring_mark_ = 0;
--- a/src/programs/following.cpp
+++ b/src/programs/following.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "programs/follower.h"
+#include "state/metrics.h"
 
 namespace saddlewing {
 namespace {
@@ -29,6 +30,11 @@
   follow.ring_mark = ring_confirmed_;
   follow.ring_held = ring_mark_;
   if (ring_mark_ && source.is_leader) count_ring(follow);
+  if (edges_) {
+    follow.edges_held = edges_held_;
+    for (const std::string& counts : edge_counts_.take()) edge_sums_.merge(counts);
+    if (source.is_feed) follow.edge_counts = edge_sums_.take();
+  }
   if (hold_ && (source.is_leader || source.is_feed)) {
     follow.failing = seen_.failing;
     follow.fine = seen_.fine;
@@ -86,6 +92,22 @@
   follow.account_loads = encode_account_loads(accounts);
 }
 
+// A view that does not read, or that is older than the one held, changes nothing.
+void Follower::take_edges(const Beat& beat) {
+  if (!beat.edges_in_force && beat.edges.empty()) return;
+  EdgeNews news{nullptr, beat.edges_in_force};
+  auto view = std::make_shared<EdgeView>();
+  if (!beat.edges.empty()) {
+    if (decode_view(beat.edges, *view) && view->mark >= edges_held_) {
+      if (view->mark > edges_held_) news.view = view;
+      edges_held_ = view->mark;
+    } else {
+      metrics().add(Metric::edge_frames_dropped);
+    }
+  }
+  edges_(std::move(news));
+}
+
 void Follower::take_ring(const Beat& beat) {
   RingNews news;
   if (!beat.ring.empty() && beat.ring_mark > ring_mark_) {
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -74,7 +74,8 @@
       ready_server_(poller_, schedule_, readiness_, 64, 1 << 20), views_(64, [this] { poller_.wake(); }),
       picker_({startup.locality, startup.region}, life.value),
       draw_(static_cast<std::uint32_t>(life.value)), aid_events_(4096, [this] { poller_.wake(); }), life_(life),
-      classes_(startup.heavy_times), ring_news_(64, [this] { poller_.wake(); }), alert_rules_(4, [this] { poller_.wake(); }) {}
+      ring_news_(64, [this] { poller_.wake(); }), alert_rules_(4, [this] { poller_.wake(); }),
+      edge_news_(64, [this] { poller_.wake(); }), edge_gate_(startup.region, life.value, edge_options(startup)), classes_(startup.heavy_times) {}
 
 Fault Traffic::open() {
   if (Fault found = ready_server_.open(startup_.ready_check)) return found;
@@ -84,6 +85,7 @@
 void Traffic::start() { thread_ = std::thread([this] { run(); }); }
 
 void Traffic::run() {
+  if (startup_.has_edges) edge_clock_.on_due(Clock::now());
   for (;;) {
     poller_.poll(schedule_.until_next(Clock::now(), is_leaving_ ? Span(50) : Span(1000)));
     const Moment now = Clock::now();
@@ -94,6 +96,7 @@
       if (!alerts_.is_empty()) alert_clock_.on_due(now);
     }
     for (RingNews& news : ring_news_.take()) take_ring(std::move(news), now);
+    for (EdgeNews& news : edge_news_.take()) take_edges(std::move(news), now);
     for (AidEvent& event : aid_events_.take()) take_aid_event(event, now);
     schedule_.run(now);
     server_.reap();
@@ -156,6 +159,7 @@
                static_cast<int>(std::max<std::uint64_t>(1, view_->brokers)));
     for (const BackendPointer& backend : backends) keep_warm(backend);
   }
+  mark_edges();
   const Limits& limits = table_->configuration->limits;
   server_.set_limits({limits.most_header_bytes, limits.most_body_bytes, limits.header_wait, limits.quiet});
 }
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -88,6 +88,7 @@
   void set_sender(std::function<bool(AidOut)> send) { send_ = std::move(send); }
   void set_follower(Follower& follower) { follower_ = &follower; }
   void turn_ring(RingNews news) { ring_news_.push(std::move(news)); }
+  void turn_edges(EdgeNews news) { edge_news_.push(std::move(news)); }
   void leave() {
     should_leave_ = true;
     poller_.wake();
@@ -159,6 +160,16 @@
     void on_due(Moment now) override { traffic.serve_turns(most_waiting, now); }
   };
   static constexpr std::size_t most_waiting = 256;
+  // The shared view of edges.
+  void take_edges(EdgeNews news, Moment now);
+  void mark_edges();
+  std::string region_of_aide(const std::string& address) const;
+  void count_edge(const std::string& service, const std::string& zone, EdgeClass kind, Span took, bool has_failed);
+  struct EdgeClock final : Scheduled {
+    explicit EdgeClock(Traffic& traffic) : traffic(traffic) {}
+    Traffic& traffic;
+    void on_due(Moment now) override;
+  };
   struct AlertClock final : Scheduled {
     explicit AlertClock(Traffic& traffic) : traffic(traffic) {}
     Traffic& traffic;
@@ -215,6 +226,10 @@
   Ring<std::vector<AlertRule>> alert_rules_;
   Alerts alerts_;
   AlertClock alert_clock_{*this};
+  Ring<EdgeNews> edge_news_;
+  EdgeGate edge_gate_;
+  EdgeCounts edge_counts_{4096};
+  EdgeClock edge_clock_{*this};
   WorkClasses classes_;
   TurnQueue<const Asker*> turns_{most_waiting, 4};  // short ones get four turns to one
   TurnClock turn_clock_{*this};
--- a/src/programs/turns.cpp
+++ b/src/programs/turns.cpp
@@ -11,8 +11,9 @@
 }  // namespace
 
 PickWish Traffic::wish(const Errand& errand, const std::string& service, Moment now) {
-  if (!classes_.is_on()) return {};
   PickWish wish;
+  wish.may_try = errand.rule().is_harmless && now - errand.began() < errand.rule().target / 4;
+  if (!classes_.is_on()) return wish;
   wish.is_heavy = classes_.is_heavy(service, errand.rule().name, now);
   if (const auto trip = trips_.find(&errand); trip != trips_.end()) trip->second->is_heavy = wish.is_heavy;
   if (!wish.is_heavy) return wish;
--- a/src/programs/wire.cpp
+++ b/src/programs/wire.cpp
@@ -79,6 +79,7 @@
     backend_->breaker.fail(now, true);
     const TripPointer trip = release();
     const std::size_t part = part_;
+    traffic_.count_edge(backend_->service, backend_->locality, EdgeClass::light, span_between(asked_, now), true);
     caller_.end();
     traffic_.bury(this);
     trip->asker->take_breakdown(part, Kind::silent, false, now);
@@ -90,6 +91,7 @@
     traffic_.schedule_.set(*this, now - asked_ >= stalled_least ? last : std::min(last, asked_ + stalled_least));
     return;
   }
+  traffic_.count_edge(backend_->service, backend_->locality, is_heavy_ ? EdgeClass::heavy : EdgeClass::light, span_between(asked_, now), true);
   const TripPointer trip = release();
   caller_.end();
   traffic_.bury(this);
@@ -126,6 +128,7 @@
   else if (!outcome.is_not_run) {
     backend_->breaker.succeed();
     if (is_success) backend_->see_outcome(static_cast<double>(took.count()));
+    traffic_.count_edge(backend_->service, backend_->locality, is_heavy_ ? EdgeClass::heavy : EdgeClass::light, took, !is_success && outcome.status >= 500);
     if (is_success) traffic_.note_work(*trip_, *backend_, took, caller.reader().body().size(), now);
   }
   if (!trip_->asker->is_gathering()) {
@@ -152,6 +155,7 @@
   if (!trip_) return on_idle_end(caller);
   backend_->breaker.fail(now, kind == Kind::refused_connection);
   metrics().add(Metric::breakdowns);
+  traffic_.count_edge(backend_->service, backend_->locality, is_heavy_ ? EdgeClass::heavy : EdgeClass::light, span_between(asked_, now), true);
   const bool may_have_run = caller.has_sent();
   const std::size_t part = part_;
   const TripPointer trip = release();
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -109,7 +109,8 @@
   writer.number(value.edition.value).number(value.roster_life).number(value.roster_mark).number(value.wants_body).number(value.wants_roster);
   writer.text(value.region).number(value.is_ready).number(value.seats_mark);
   writer.number(value.token).number(value.leads_mark).text(value.locality).text(value.failing).text(value.fine).text(value.samples);
-  writer.number(value.samples_age).number(value.ring_mark).number(value.ring_held).text(value.ring_loads).text(value.account_loads).number(value.lookups).number(value.late_lookups).number(value.echo).number(value.gap);
+  writer.number(value.samples_age).number(value.ring_mark).number(value.ring_held).text(value.ring_loads).text(value.account_loads).number(value.lookups).number(value.late_lookups);
+  writer.text(value.edge_counts).number(value.edges_held).number(value.echo).number(value.gap);
   return writer.take();
 }
 
@@ -135,6 +136,8 @@
   value.account_loads = reader.text();
   value.lookups = reader.number();
   value.late_lookups = reader.number();
+  value.edge_counts = reader.text();
+  value.edges_held = reader.number();
   value.echo = reader.number();
   value.gap = reader.number();
   return reader.is_whole();
@@ -149,6 +152,7 @@
   writer.number(value.seats_mark).number(value.seats.size());
   for (const BrokerSeat& seat : value.seats) writer.text(seat.address).text(seat.region);
   writer.number(value.token).number(value.hold).number(value.leads_mark).text(value.leads).text(value.samples).number(value.serial).number(value.ring_mark).text(value.ring);
+  writer.number(value.edges_in_force).text(value.edges);
   return writer.take();
 }
 
@@ -178,6 +182,8 @@
   value.serial = reader.number();
   value.ring_mark = reader.number();
   value.ring = reader.text();
+  value.edges_in_force = reader.number();
+  value.edges = reader.text();
   return reader.is_whole();
 }
 
@@ -347,10 +353,43 @@
   return reader.is_whole();
 }
 
+std::string encode(const FrameHead& head, const EdgeSums& value) {
+  Writer writer = open_frame(head, FrameKind::edge_sums);
+  writer.number(value.regions.size());
+  for (const auto& [region, counts] : value.regions) writer.text(region).text(counts);
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, EdgeSums& value) {
+  value.regions.resize(reader.count(16));
+  for (auto& [region, counts] : value.regions) {
+    region = reader.text();
+    counts = reader.text();
+  }
+  return reader.is_whole();
+}
+
+std::string encode(const FrameHead& head, const EdgeViewFrame& value) {
+  Writer writer = open_frame(head, FrameKind::edge_view);
+  writer.number(value.in_force).text(value.view).number(value.ways.size());
+  for (const auto& [way, least] : value.ways) writer.text(way.first).text(way.second).number(static_cast<std::uint64_t>(least * 1000));
+  return writer.take();
+}
+
+bool decode(ByteReader& reader, EdgeViewFrame& value) {
+  value.in_force = reader.number();
+  value.view = reader.text();
+  for (std::uint64_t left = reader.count(24); left > 0; --left) {
+    std::string region = reader.text(), zone = reader.text();
+    value.ways[{std::move(region), std::move(zone)}] = static_cast<double>(reader.number()) / 1000;
+  }
+  return reader.is_whole();
+}
+
 bool decode_head(ByteReader& reader, FrameHead& head) {
   if (reader.number() != protocol_number) return false;
   const std::uint64_t kind = reader.number();
-  if (kind < static_cast<std::uint64_t>(FrameKind::ballot) || kind > static_cast<std::uint64_t>(FrameKind::ring_answer)) return false;
+  if (kind < static_cast<std::uint64_t>(FrameKind::ballot) || kind > static_cast<std::uint64_t>(FrameKind::edge_view)) return false;
   head.kind = static_cast<FrameKind>(kind);
   head.life.value = reader.number();
   head.from = reader.text();
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -2,6 +2,7 @@
 // Frames between the system's own processes. Each opens with the protocol's number, its kind, the sender's life
 // and the sender's inner address; whatever does not decode whole is foreign or damaged and is dropped.
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,6 +28,8 @@
   renewed,      // backends that told a registry of themselves
   ring_call,    // an operator's call concerning the ring
   ring_answer,
+  edge_sums,    // how fast edges answered, from a registry to the leader
+  edge_view,    // what the leader made of it, to its peers
 };
 
 struct FrameHead {
@@ -87,6 +90,9 @@
   std::string ring_loads;        // what it sent to each virtual node since its last follow
   std::string account_loads;     // the same of its busiest accounts
   std::uint64_t lookups = 0, late_lookups = 0;  // short ones, and how many of them missed their aim
+  // Of a broker, where the view of edges is on:
+  std::string edge_counts;       // to its feed, since the last
+  std::uint64_t edges_held = 0;  // mark of the newest view it has
   std::uint64_t echo = 0, gap = 0;  // the last beat heard of this registry, and milliseconds since
 };
 
@@ -119,6 +125,8 @@
   // To a broker:
   std::uint64_t ring_mark = 0;   // 0: no ring
   std::string ring;              // the sheet, unless the broker has it
+  std::uint64_t edges_in_force = 0;  // from the leader alone; 0: no word of it
+  std::string edges;             // the newest view, unless the broker has it
 };
 
 // An operator's call, from the command line, and its outcome.
@@ -132,6 +140,15 @@
   std::string text;        // JSON
 };
 
+struct EdgeSums {
+  std::vector<std::pair<std::string, std::string>> regions;  // by region of the asking brokers: counts as they travel
+};
+struct EdgeViewFrame {
+  std::uint64_t in_force = 0;
+  std::string view;                                             // empty: there is none yet
+  std::map<std::pair<std::string, std::string>, double> ways;   // see EdgeJudge
+};
+
 struct Body {
   Edition edition;
   std::string body;  // packed
@@ -224,6 +241,8 @@
 std::string encode(const FrameHead& head, const RenewedIds& value);
 std::string encode(const FrameHead& head, const RingCall& value);
 std::string encode(const FrameHead& head, const RingAnswer& value);
+std::string encode(const FrameHead& head, const EdgeSums& value);
+std::string encode(const FrameHead& head, const EdgeViewFrame& value);
 std::string encode_trace(const FrameHead& head);
 
 // The head alone; false for a foreign or damaged frame.
@@ -241,5 +260,7 @@
 bool decode(ByteReader& reader, RenewedIds& value);
 bool decode(ByteReader& reader, RingCall& value);
 bool decode(ByteReader& reader, RingAnswer& value);
+bool decode(ByteReader& reader, EdgeSums& value);
+bool decode(ByteReader& reader, EdgeViewFrame& value);
 
 }  // namespace saddlewing
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -22,6 +22,8 @@
     {Metric::unknown_outcomes, "saddlewing_unknown_outcomes_total", "Statements answered UNKNOWN.", true},
     {Metric::ring_over, "saddlewing_ring_nodes_over", "Nodes of the ring that carry too much.", false},
     {Metric::ring_moves, "saddlewing_ring_moves_open", "Moves of virtual nodes under way.", false},
+    {Metric::edges_avoided, "saddlewing_edges_avoided", "Edges that some region avoids.", false},
+    {Metric::edge_frames_dropped, "saddlewing_edge_frames_dropped_total", "Counts or views of edges that were impossible, too many, or old.", true},
     {Metric::brokers, "saddlewing_brokers", "Brokers heard of late.", false},
     {Metric::backends_up, "saddlewing_backends_up", "Backends that are UP.", false},
     {Metric::evictions, "saddlewing_evictions_total", "Holds evicted by the sweep.", true},
@@ -29,6 +31,7 @@
     {Metric::leads, "saddlewing_leads", "Whether the registry leads.", false},
     {Metric::calls_taken, "saddlewing_operator_calls_total", "Operators' calls.", true},
     {Metric::calls_failed, "saddlewing_operator_calls_failed_total", "Operators' calls answered 503.", true},
+    {Metric::edges_mark, "saddlewing_edges_view", "Changes of the view of edges in this leader's term, as in force here.", false},
     {Metric::edition, "saddlewing_edition", "Edition in force here.", false},
 };
 
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -13,9 +13,9 @@
   // pooler
   lanes, lanes_opened, waiting, statements, unknown_outcomes,
   // registry
-  ring_over, ring_moves, brokers, backends_up, evictions, saves_failed, leads, calls_taken, calls_failed,
+  ring_over, ring_moves, edges_avoided, edge_frames_dropped, brokers, backends_up, evictions, saves_failed, leads, calls_taken, calls_failed,
   // both
-  edition,
+  edition, edges_mark,
   count
 };
 
--- a/src/state/startup.cpp
+++ b/src/state/startup.cpp
@@ -196,6 +196,15 @@
   reader.span("options.lead_hold_ms", read.lead_hold);
   reader.number("options.heavy_times", read.heavy_times, 0, 1000);
   if (read.heavy_times > 0 && read.heavy_times < 1.5) reader.fail("options.heavy_times is between 0 and 1.5");
+  reader.truth("options.edges", read.has_edges);
+  reader.span("options.edges_half_life_ms", read.edges_half_life);
+  reader.span("options.edges_least_stay_ms", read.edges_least_stay);
+  reader.span("options.edges_fade_ms", read.edges_fade);
+  reader.number("options.edges_avoid_times", read.edges_avoid_times, 1.2, 1000);
+  reader.number("options.edges_return_times", read.edges_return_times, 1, 1000);
+  reader.number("options.edges_least_samples", read.edges_least_samples, 5, 1e6);
+  if (read.edges_return_times >= read.edges_avoid_times) reader.fail("options.edges_return_times is not under options.edges_avoid_times");
+  if (read.edges_fade < read.follow * 4) reader.fail("options.edges_fade_ms is under four times options.follow_ms");
   reader.span("options.unconfirmed_wait_ms", read.unconfirmed_wait);
   if (read.election < read.beat * 3) reader.fail("options.election_ms is under three times options.beat_ms");
   if (read.rollout_wait * 3 > read.take_effect) reader.fail("options.rollout_wait_ms is over a third of time_bounds.take_effect_ms");
--- a/src/state/startup.h
+++ b/src/state/startup.h
@@ -51,6 +51,9 @@
   std::string alert_rules;              // path of a file; empty: none
   Span lead_hold{3000};                 // how long a pooler may use the leads it was told of
   double heavy_times = 0;               // so many times the lightest route's work makes a route heavy; 0: bulkheads are off
+  bool has_edges = false;               // the shared view of edges, see docs/operating-edges.md
+  Span edges_half_life{4000}, edges_least_stay{2000}, edges_fade{10000};
+  double edges_avoid_times = 3, edges_return_times = 1.5, edges_least_samples = 20;
   Span unconfirmed_wait{2000};          // then a broker serves by what any registry holds committed
 };
 
