--- a/src/coordination/backend.h
+++ b/src/coordination/backend.h
@@ -48,6 +48,7 @@
   bool is_cancelled = false;  // emptying or gone: nothing more is sent, whatever capture an errand began with
 
   int asked = 0;              // own requests at work there
+  Moment last_asked{};
   int connections = 0;
   bool is_own = true;         // of those this broker keeps connections to; see choose_own
   bool is_scarce = false;     // its connections do not suffice for every broker: others than its own use it for a moment only
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -13,6 +13,7 @@
 
 constexpr Span still_chosen{2500};  // after SIGTERM the platform may go on sending for two missed checks
 constexpr Span warm_span{8000};     // how long a connection is kept before its first asking
+constexpr Span in_use_span{20000};  // after its last asking a backend is in use
 constexpr Span warm_pause{3000};    // between connections opened in advance to one backend
 constexpr Span before_end{700};     // of the grace, kept for the end itself
 
@@ -295,11 +296,13 @@
   return picker_.pick(backends, tried, std::max(1, most_connections * 4 / 5 / brokers), now, wish);
 }
 
-// One connection to each backend in use stays open: a further asking far away must not wait for a handshake.
+// One connection to each backend in use stays open, and one to each far away: an asking there must not wait for a
+// handshake. To near ones a handshake is short, so connections to them follow the requests, not brokers times backends.
 void Traffic::keep_warm(const BackendPointer& backend) {
   const auto usual = by_name_.find(backend->service);
   const Moment now = Clock::now();
   if (backend->is_cancelled || backend->connections > 0 || !backend->is_own || now < backend->warm_after || usual == by_name_.end() || is_leaving_ || !table_) return;
+  if (backend->region == startup_.region && now - backend->last_asked > in_use_span) return;
   const auto& services = table_->configuration->services;
   if (std::none_of(services.begin(), services.end(), [&](const Service& service) { return service.name == backend->service; })) return;
   auto fresh = std::make_unique<Wire>(*this, backend);
@@ -307,7 +310,8 @@
   wires_[wire] = std::move(fresh);
   backend->warm_after = now + warm_pause;  // one that ends at once is not opened again and again
   if (wire->is_ended()) return bury(wire);
-  wire->rest(now, warm_span);
+  const auto learnt = idle_spans_.find(backend->service);
+  wire->rest(now, learnt == idle_spans_.end() ? warm_span : learnt->second);
 }
 
 void Traffic::bury(Wire* wire) {
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -213,6 +213,7 @@
   std::uint64_t last_aid_ = 0;
   const LifeId life_;
   std::unordered_map<VisitId, Errand*> by_visit_;
+  std::unordered_map<std::string, Span> idle_spans_;  // how long backends of a service keep an idle connection, as told last
   std::unordered_map<const Backend*, std::vector<Wire*>> idle_;
   std::unordered_map<Wire*, std::unique_ptr<Wire>> wires_;
   std::vector<std::unique_ptr<Wire>> graves_;
--- a/src/programs/wire.cpp
+++ b/src/programs/wire.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t most_head = 32768;
 constexpr Span connect_wait{250};
 constexpr Span past_cutoff{100};       // how long an asking is still waited for after its errand's cutoff
-constexpr Span longest_idle{10000};
+constexpr Span longest_idle{20000};
 constexpr Span borrowed_idle{300};     // of a connection that others need as well
 constexpr std::size_t turns_at_once = 4;  // when a slot came free
 constexpr double stalled_times = 6;    // so many times the usual, and at least stalled_least: it stalls
@@ -56,6 +56,7 @@
   part_ = part;
   asked_ = now;
   ++backend_->asked;
+  backend_->last_asked = now;
   is_connect_checked_ = caller_.was_connected();
   traffic_.schedule_.set(*this, now + (is_connect_checked_ ? std::max(stalled_least, Span(static_cast<std::int64_t>(backend_->mean_ms * stalled_times)))
                                                            : connect_wait));
@@ -139,6 +140,7 @@
   outcome.body = std::move(caller.reader().body());
   const std::size_t part = part_;
   const Span idle = idle_span(response);
+  if (response.has("Keep-Alive")) traffic_.idle_spans_[backend_->service] = idle;
   const TripPointer trip = release();
   if (is_ended() || backend_->is_cancelled || idle <= Span(0)) {
     traffic_.bury(this);
