Rosters encoded once, seats chosen by the registry, brokers remembered; zones by bytes

Cause: after all machines lose power, brokers on the large fleets each took the part of one that is alone; a registry did work by brokers x brokers with every follow. Change: the number of brokers is an agreed sheet; seats come as a few a region; one encoding of a delta for all; outcomes are timed without the handshake; another zone costs by the size of answers.

--- a/src/coordination/backend.cpp
+++ b/src/coordination/backend.cpp
@@ -10,6 +10,7 @@
 
 constexpr double guess_ms = 20;                        // of a backend not heard yet
 constexpr double locality_ms = 3, region_ms = 40;      // what bytes across them are taken to cost, beyond their time
+constexpr double bytes_in_a_ms = 1300, most_bytes_ms = 12;  // and so much more between localities, by the size of answers
 constexpr double other_ms = 4, scarce_ms = 60;         // against those that are not one's own
 constexpr double avoided_ms = 5000, preferred_ms = -2, trial_ms = -1000;  // by the shared view of edges
 constexpr Span trial_pause{250};
@@ -43,7 +44,7 @@
   double cost = mean * (1 + waiting / backend.capacity + 0.3 * (backend.asked + foreign) / backend.capacity);
   if (now < backend.warm_until) cost *= 1.5;
   if (backend.region != place_.region) cost += region_ms;
-  else if (backend.locality != place_.locality) cost += locality_ms;
+  else if (backend.locality != place_.locality) cost += locality_ms + std::min(most_bytes_ms, backend.mean_bytes / bytes_in_a_ms);
   if (!backend.is_own) cost += backend.is_scarce ? scarce_ms : other_ms;
   return cost;
 }
--- a/src/coordination/backend.h
+++ b/src/coordination/backend.h
@@ -70,7 +70,9 @@
   unsigned percent_kept = 100;
   Moment trial_due{};         // when this broker next tries it although it is avoided
   Breaker breaker;
-  void see_outcome(double milliseconds) {
+  double mean_bytes = 0;      // of its answers
+  void see_outcome(double milliseconds, double bytes = 0) {
+    mean_bytes = mean_bytes == 0 ? bytes : mean_bytes * 0.9 + bytes * 0.1;
     least_ms = mean_ms == 0 || milliseconds < least_ms ? milliseconds : least_ms + (milliseconds - least_ms) * 0.01;
     mean_ms = mean_ms == 0 ? milliseconds : mean_ms * 0.9 + milliseconds * 0.1;
   }
--- a/src/coordination/rollout.h
+++ b/src/coordination/rollout.h
@@ -28,6 +28,7 @@
     return is_held ? Turn::held_by_all : Turn::waited_enough;
   }
   Edition in_force() const { return in_force_; }
+  bool is_pending() const { return in_force_ < committed_; }
 
  private:
   Span most_wait_;
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -51,7 +51,9 @@
                  inner_addresses(startup.contacts, startup.inner_port), Clock::now()),
       registry_(registry_options(startup)), failover_(failover_options(startup)), ring_moves_(move_options(startup)), edge_judge_(edge_options(startup)),
       edge_rollout_(startup.rollout_wait), rollout_(startup.rollout_wait),
-      grants_(startup.extra_tries, startup.follow * 5, startup.retry_span), steps_(most_steps) {}
+      grants_(startup.extra_tries, startup.follow * 5, startup.retry_span), steps_(most_steps) {
+  born_ = Clock::now();
+}
 
 Fault Core::open() { return hub_.open(context_, Address{startup_.ip_address, startup_.inner_port}); }
 
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -87,6 +87,8 @@
   void tend_registry(Moment now);
   void tend_brokers(Moment now);
   void tend_rollout(Moment now);
+  void choose_seats(const Broker& to, Beat& beat);
+  void remember_brokers(Moment now);
   void send_beat(Broker& broker, bool is_granting, Moment now, Beat beat = {});
   void take_backend(BackendCall& call, Moment now);
   void tend_databases(Moment now);
@@ -138,6 +140,19 @@
   Moment ring_due_{}, ring_watched_{};
   bool is_ring_over_ = false;
   EntryCapture ring_seen_;
+  // Ready brokers by region, each list ordered by the hash of its address; made anew when one came, went or changed.
+  using SeatRing = std::vector<std::pair<std::size_t, std::string>>;
+  std::map<std::string, SeatRing> seats_;
+  bool are_seats_old_ = true;
+  // How many brokers there were, agreed, for the moments after all of them started anew.
+  std::uint64_t remembered_brokers_ = 0;
+  Moment born_{}, counted_{}, count_differs_since_{};
+  std::uint64_t told_mark_ = ~0ull;  // of the registry when every broker fed here had it
+  struct Delta {
+    std::uint64_t base = 0, mark = 0;
+    std::string bytes;
+  };
+  Delta delta_;  // the last one sent: most brokers need the same
   EdgeJudge edge_judge_;
   std::map<std::string, EdgeCounts> edge_counts_;  // by region of the brokers fed here
   Rollout edge_rollout_;
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -12,6 +12,12 @@
 constexpr Span whole_every{5000};  // anti-entropy between registries
 constexpr Span oldest_sample{1400};
 constexpr Span broker_silence{4000};  // then a broker no longer counts
+constexpr Span count_every{100};
+constexpr Span start_span{15000};     // after its start a registry has not heard of all yet
+constexpr Span settle_span{4000};     // a number of brokers that lasted so long is remembered
+constexpr const char* fleet_sheet = "fleet";
+constexpr std::uint64_t fleet_token = ~0ull - 2;
+constexpr std::size_t seats_told = 4;  // of each region
 
 }  // namespace
 
@@ -90,6 +96,28 @@
   }
 }
 
+// Of each other region a few, from the place of the receiver's own hash on, so that every broker is some others' choice
+// and one that comes or goes changes the choice of few.
+void Core::choose_seats(const Broker& to, Beat& beat) {
+  if (are_seats_old_) {
+    are_seats_old_ = false;
+    seats_.clear();
+    for (const auto& [from, broker] : brokers_)
+      if (broker.is_ready && !broker.is_pooler) seats_[broker.region].push_back({std::hash<std::string>{}(from), from});
+    for (auto& [region, seats] : seats_) std::sort(seats.begin(), seats.end());
+  }
+  const std::size_t own = std::hash<std::string>{}(to.from);
+  for (const auto& [region, seats] : seats_) {
+    if (region == to.region) continue;
+    auto place = static_cast<std::size_t>(std::lower_bound(seats.begin(), seats.end(), std::pair(own, std::string())) - seats.begin());
+    for (std::size_t count = 0; count < std::min(seats.size(), seats_told); ++count, ++place) {
+      const auto& [hash, address] = seats[place % seats.size()];
+      beat.seats.push_back({address, region});
+      beat.seats_mark = beat.seats_mark * 31 + hash + 1;
+    }
+  }
+}
+
 void Core::send_beat(Broker& to, bool is_granting, Moment now, Beat beat) {
   beat.is_leader = agreement_.is_leader();
   beat.locality = startup_.locality;
@@ -98,14 +126,10 @@
   beat.in_force = rollout_.in_force();
   beat.is_confirmed = agreement_.is_confirmed(now);
   beat.is_filled = registry_.is_filled();
-  beat.brokers = brokers_.size();
+  beat.brokers = std::max<std::uint64_t>(brokers_.size(), now - born_ < start_span ? remembered_brokers_ : 0);
   beat.registries = agreement_.known_addresses();
   beat.registries.push_back(address_);
-  for (const auto& [from, broker] : brokers_) {
-    if (!broker.is_ready || !to.wants_roster || to.is_pooler) continue;
-    beat.seats.push_back({from, broker.region});
-    beat.seats_mark = beat.seats_mark * 31 + std::hash<std::string>{}(from + broker.region);
-  }
+  if (to.wants_roster && !to.is_pooler) choose_seats(to, beat);
   if (is_granting && agreement_.is_leader()) {
     beat.grant = static_cast<std::uint64_t>(grants_.grant(to.from, to.life, brokers_.size(), now) * 1000);
     beat.grant_valid = static_cast<std::uint64_t>(grants_.valid().count());
@@ -127,6 +151,7 @@
 
 void Core::take_follow(const std::string& route, const FrameHead& from, const Follow& follow, Moment now) {
   Broker& broker = brokers_[from.from];
+  are_seats_old_ = are_seats_old_ || broker.is_ready != follow.is_ready || broker.region != follow.region;
   if (broker.held < follow.edition) LOG(INFO) << "registry: broker " << from.from << " holds edition " << follow.edition.value;
   broker.route = route;
   broker.from = from.from;
@@ -139,6 +164,7 @@
   broker.sent_mark = follow.roster_life == life_.value ? follow.roster_mark : 0;
   broker.wants_roster = follow.wants_roster;
   broker.leads_mark = follow.leads_mark;
+  if (broker.wants_roster && broker.sent_mark < registry_.mark()) told_mark_ = ~0ull;
   Beat beat;
   if (!follow.locality.empty()) take_pooler(from, follow, broker, beat, now);
   else take_ring_follow(from, follow, beat, now);
@@ -151,14 +177,41 @@
 
 // Changes go out at once; whoever missed some says so with its next follow.
 void Core::tend_brokers(Moment now) {
-  std::erase_if(brokers_, [&](const auto& broker) { return now - broker.second.heard > broker_silence; });
+  if (now >= counted_) {
+    counted_ = now + count_every;
+    if (std::erase_if(brokers_, [&](const auto& broker) { return now - broker.second.heard > broker_silence; })) are_seats_old_ = true;
+    remember_brokers(now);
+  }
+  if (told_mark_ == registry_.mark()) return;
+  bool has_all = true;
   for (auto& [from, broker] : brokers_) {
     if (!broker.wants_roster || broker.sent_mark >= registry_.mark()) continue;
-    if (hub_.send(broker.route, encode(head(), registry_.since(broker.sent_mark, now)))) broker.sent_mark = registry_.mark();
+    if (delta_.base != broker.sent_mark || delta_.mark != registry_.mark() || delta_.bytes.empty())
+      delta_ = {broker.sent_mark, registry_.mark(), encode(head(), registry_.since(broker.sent_mark, now))};
+    if (hub_.send(broker.route, delta_.bytes)) broker.sent_mark = registry_.mark();
+    else has_all = false;
+  }
+  if (has_all) told_mark_ = registry_.mark();
+}
+
+// After a loss of all power every broker is the first one heard. What each may open is by the number that there was.
+void Core::remember_brokers(Moment now) {
+  if (const EntryCapture& committed = agreement_.committed()) {
+    const auto sheet = committed->sheets.find(fleet_sheet);
+    ByteReader reader(sheet != committed->sheets.end() ? std::string_view(sheet->second) : std::string_view());
+    if (const std::uint64_t count = reader.number(); reader.is_whole()) remembered_brokers_ = count;
   }
+  const std::uint64_t count = brokers_.size();
+  const std::uint64_t off = count > remembered_brokers_ ? count - remembered_brokers_ : remembered_brokers_ - count;
+  const bool differs = agreement_.is_leader() && agreement_.is_leased(now) && now - born_ > start_span && count > 0 && off * 4 > remembered_brokers_;
+  if (!differs) count_differs_since_ = now;
+  if (now - count_differs_since_ < settle_span) return;
+  count_differs_since_ = now;
+  agreement_.propose_sheet(fleet_sheet, Writer().number(count).take(), fleet_token, now);
 }
 
 void Core::tend_rollout(Moment now) {
+  if (!rollout_.is_pending()) return;
   std::vector<Edition> held;
   for (const auto& [from, broker] : brokers_) held.push_back(broker.held);
   const Rollout::Turn turn = rollout_.advance(held, now);
--- a/src/programs/wire.cpp
+++ b/src/programs/wire.cpp
@@ -128,7 +128,9 @@
   if (outcome.status == 421) backend_->breaker.fail(now, true);
   else if (!outcome.is_not_run) {
     backend_->breaker.succeed();
-    if (is_success) backend_->see_outcome(static_cast<double>(took.count()));
+    // Without the handshake: it says nothing of the backend, and the first one would decide who is asked from then on.
+    const Span served = span_between(std::max(asked_, caller_.connected_at()), now);
+    if (is_success) backend_->see_outcome(static_cast<double>(served.count()), static_cast<double>(caller.reader().body().size()));
     traffic_.count_edge(backend_->service, backend_->locality, is_heavy_ ? EdgeClass::heavy : EdgeClass::light, took, !is_success && outcome.status >= 500);
     if (is_success) traffic_.note_work(*trip_, *backend_, took, caller.reader().body().size(), now);
   }
--- a/src/transport/caller.cpp
+++ b/src/transport/caller.cpp
@@ -55,6 +55,7 @@
     if (!is_writable && !is_readable) return;
     if (!channel_.is_connected_well()) return fail(Kind::refused_connection, now);
     was_connected_ = true;
+    connected_at_ = now;
     state_ = is_asked_ ? State::asking : State::idle;
     return flush(now);
   }
--- a/src/transport/caller.h
+++ b/src/transport/caller.h
@@ -34,6 +34,7 @@
   bool has_sent() const { return has_sent_; }      // any byte of the request left
   bool has_heard() const { return has_heard_; }    // any byte of the outcome came
   bool was_connected() const { return was_connected_; }
+  Moment connected_at() const { return connected_at_; }
   void end();
   void abort();  // ends it so that nothing of the request arrives later
 
@@ -52,6 +53,7 @@
   State state_ = State::connecting;
   std::string out_, in_, try_id_;
   std::size_t sent_ = 0;
+  Moment connected_at_{};
   bool has_sent_ = false, has_heard_ = false, was_connected_ = false, is_asked_ = false, is_doubtful_ = false;
 };
 
