--- a/src/programs/lookout.cpp
+++ b/src/programs/lookout.cpp
@@ -81,6 +81,7 @@
 
 void Lookout::bury(std::unique_ptr<Caller>& caller) {
   if (!caller) return;
+  by_caller_.erase(caller.get());
   caller->end();
   graves_.push_back(std::move(caller));
 }
@@ -92,6 +93,7 @@
   if (!probe.caller || probe.caller->state() == Caller::State::ended) {
     bury(probe.caller);
     probe.caller = std::make_unique<Caller>(poller_, *this, address, most_head, 65536);
+    by_caller_[probe.caller.get()] = &probe;
   }
   const std::string bytes = std::string(row_of(Call::probe_backend).method) + " " + probe.target.health_path +
                             " HTTP/1.1\r\nHost: " + probe.target.address + "\r\n" + field::meant_server + ": " +
@@ -111,9 +113,8 @@
 }
 
 Lookout::Probe* Lookout::probe_of(Caller& caller) {
-  for (auto& [id, probe] : probes_)
-    if (probe.caller.get() == &caller) return &probe;
-  return nullptr;
+  const auto found = by_caller_.find(&caller);
+  return found == by_caller_.end() ? nullptr : found->second;
 }
 
 void Lookout::start_page(Moment now) {
--- a/src/programs/lookout.h
+++ b/src/programs/lookout.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <map>
 #include <thread>
+#include <unordered_map>
 
 #include "programs/rings.h"
 #include "state/startup.h"
@@ -59,6 +60,7 @@
   Ring<WatchOrderCapture> orders_;
   WatchOrderCapture order_;
   std::map<std::string, Probe> probes_;
+  std::unordered_map<const Caller*, Probe*> by_caller_;  // invariant: every caller of a probe, until it is buried
   Listing listing_;
   std::vector<std::unique_ptr<Caller>> graves_;  // freed between rounds, never inside their own calls
   std::atomic<bool> should_stop_ = false;
