--- a/src/coordination/ring_moves.cpp
+++ b/src/coordination/ring_moves.cpp
@@ -182,7 +182,7 @@
   if (work.is_fresh || work.mark != move.mark) {
     Work fresh;
     fresh.mark = move.mark, fresh.since = now, fresh.share = work.share, fresh.position = work.position, fresh.is_fresh = false;
-    if (!move.is_open()) fresh.why = work.why;
+    if (!move.is_open()) fresh.why = work.why, fresh.is_ended = true;
     work = std::move(fresh);
   }
   using Step = RingMove::Step;
@@ -281,9 +281,9 @@
   const auto place = works_.find(pending.move);
   if (place == works_.end() || place->second.mark != pending.mark) return;
   Work& work = place->second;
-  work.why.clear();
+  if (!work.is_ended) work.why.clear();
   if (answer.kind != NodeAnswer::Kind::told) {
-    work.why = pending.node + (answer.kind == NodeAnswer::Kind::silent ? " does not answer to " : answer.kind == NodeAnswer::Kind::refused ? " refuses " : " answers with garbage to ") + pending.what;
+    if (!work.is_ended) work.why = pending.node + (answer.kind == NodeAnswer::Kind::silent ? " does not answer to " : answer.kind == NodeAnswer::Kind::refused ? " refuses " : " answers with garbage to ") + pending.what;
     return;
   }
   if (answer.interface < node_interface) {
--- a/src/coordination/ring_moves.h
+++ b/src/coordination/ring_moves.h
@@ -110,7 +110,7 @@
     double share = 0;
     std::optional<std::uint64_t> position;  // the giver's last one
     std::string why;
-    bool is_fresh = true, is_outdated = false;  // is_outdated: a node speaks an older version of the interface
+    bool is_fresh = true, is_outdated = false, is_ended = false;  // is_ended: the reason is why  // is_outdated: a node speaks an older version of the interface
   };
   struct Pending {
     std::uint64_t move, mark;  // an answer to an earlier step's order is no answer
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -167,6 +167,10 @@
   cr_assert(!check_startup(good + R"(,"time_bounds":{"empty_out_ms":900,"take_effect_ms":900}})", false, startup));
   cr_expect(startup.listing * 3 + startup.follow <= Span(900) && startup.rollout_wait * 3 <= Span(900), "options follow tight bounds");
   cr_expect(check_startup(good + R"(,"options":{"listing_ms":1000}})", false, startup).step == "options.listing_ms is too long for time_bounds.empty_out_ms");
+  for (const auto& [options, complaint] : {std::pair(R"("heavy_times":1)", "options.heavy_times is between 0 and 1.5"), {R"("heavy_times":-1)", "options.heavy_times is out of range"},
+                                            {R"("edges":1)", "options.edges is not true or false"}, {R"("edges_avoid_times":1.4)", "options.edges_return_times is not under options.edges_avoid_times"},
+                                            {R"("edges_least_samples":2)", "options.edges_least_samples is out of range"}, {R"("edges_fade_ms":900)", "options.edges_fade_ms is under four times options.follow_ms"}})
+    cr_expect(check_startup(good + R"(,"options":{)" + options + "}}", false, startup).step == complaint, "%s", complaint);
   cr_expect(check_startup("{", false, startup).code == Kind::unreadable);
   cr_expect(read_startup("/nowhere", false, startup).code == Kind::unreadable);
 }
