--- a/src/coordination/edge_judge.cpp
+++ b/src/coordination/edge_judge.cpp
@@ -232,7 +232,8 @@
       Row row{place.service, zone, place.region, {}, 0, 0, 0, Span(0), {}};
       const Score own = score(place, zone, 1);
       row.samples = cells[0].sum + cells[1].sum;
-      row.time_ms = own.time_ms;
+      const Cell& usual = cells[0].sum > 0 ? cells[0] : cells[1];
+      row.time_ms = own.is_known ? own.time_ms : usual.quantile(usual_share);
       row.failures = own.failures;
       if (const auto found = standings_.find(place); found != standings_.end())
         if (const auto standing = found->second.find(zone); standing != found->second.end()) {
--- a/src/coordination/ring_moves.cpp
+++ b/src/coordination/ring_moves.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t most_ended = 32;  // moves that are over and still shown
 constexpr std::size_t most_open = 256;  // planned ones included
+constexpr double most_benefit = 1e9;
 constexpr std::uint64_t moves_form = 2; // behind a 0, which no move has as its number
 
 bool shares_node(const RingMove& one, const RingMove& other) {
@@ -89,7 +90,8 @@
   }
   const std::size_t taker = ring.index_of(to);
   if (taker == ring.nodes.size()) return to + " is no node of the ring";
-  const RingMove wanted{0, unit, ring.nodes[ring.owner_of(unit)].name, to, RingMove::Step::planned, 0, benefit};
+  // What is to move now goes before all that is queued.
+  const RingMove wanted{0, unit, ring.nodes[ring.owner_of(unit)].name, to, RingMove::Step::planned, 0, may_wait ? std::min(benefit, most_benefit) : most_benefit};
   if (wanted.from == to) return to + " owns it already";
   for (const std::string& node : {wanted.from, to})
     if (!serving.contains(node)) return node + " is emptying or silent";
@@ -126,7 +128,7 @@
   move.step = step;
   move.mark = mark_ + 1;
   has_changed_ = true;
-  if (!reason.empty()) works_[move.id].why = reason;
+  works_[move.id].why = reason;
   output_.news.push_back("move " + std::to_string(move.id) + " of " + move.unit.text() + " from " + move.from + " to " + move.to + ": " +
                          name_of(step) + (reason.empty() ? "" : ", " + reason));
 }
--- /dev/null
+++ b/src/programs/operator_call.h
@@ -0,0 +1,13 @@
+#pragma once
+// An operator's call to whichever registry leads, from the command line.
+#include <string>
+#include <vector>
+
+#include "protocol/frames.h"
+
+namespace saddlewing {
+
+// Asks one contact after the other, and whoever is said to lead, until one has answered or the time is over.
+bool ask_leader(const std::vector<std::string>& contacts, const RingCall& call, Span most, RingAnswer& answer);
+
+}  // namespace saddlewing
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -7,6 +7,7 @@
 namespace saddlewing {
 
 // Exit codes: 0 done and balanced, 1 failed or refused, 2 misused, 3 a node carries too much.
+int run_edges(const std::vector<std::string>& contacts, bool is_json, int wait_ms);
 int run_ring(const std::vector<std::string>& words, const std::vector<std::string>& contacts, bool is_json, int wait_ms);
 int run_pooler(const std::string& startup_path);
 int run_broker(const std::string& startup_path);
--- a/src/programs/ring_program.cpp
+++ b/src/programs/ring_program.cpp
@@ -6,46 +6,16 @@
 #include <iostream>
 #include <sstream>
 
+#include "programs/operator_call.h"
 #include "programs/programs.h"
 #include "protocol/frames.h"
 #include "state/ring.h"
 #include "state/startup.h"
-#include "transport/link.h"
 
 namespace saddlewing {
 namespace {
 
 enum Exit { balanced = 0, failed = 1, usage = 2, overloaded = 3 };
-constexpr Span ask_again{300};
-
-// Asks one contact after the other, and whoever is said to lead, until one has answered or the time is over.
-bool ask(const std::vector<std::string>& contacts, const RingCall& call, Span most, RingAnswer& answer) {
-  const Moment until = Clock::now() + most;
-  LinkContext context;
-  Waker waker;
-  std::vector<std::string> places = contacts;
-  for (std::size_t place = 0; Clock::now() < until; ++place) {
-    Address address;
-    if (!parse_address(places[place % places.size()], address)) continue;
-    Spoke spoke(context, address);
-    const Moment give_up = std::min(until, Clock::now() + ask_again * 4);
-    bool is_asked = false;
-    while (Clock::now() < give_up) {
-      if (!is_asked) is_asked = spoke.send(encode({FrameKind::ring_call, {}, {}}, call));
-      wait_links({spoke.handle()}, waker, std::min(is_asked ? ask_again : Span(20), std::chrono::ceil<Span>(give_up - Clock::now())));
-      const auto parcel = spoke.receive();
-      if (!parcel) continue;
-      ByteReader reader(parcel->bytes);
-      FrameHead head;
-      if (!decode_head(reader, head) || head.kind != FrameKind::ring_answer || !decode(reader, answer)) continue;
-      if (answer.is_done || answer.leader.empty()) return true;
-      places = {answer.leader};
-      place = 0;
-      break;
-    }
-  }
-  return false;
-}
 
 std::string text_of(const Json::Value& value) { return value.isString() ? value.asString() : value.isNull() ? "-" : value.asString(); }
 
@@ -100,7 +70,7 @@
     call.text = text.str();
   }
   RingAnswer answer;
-  if (!ask(contacts, call, Span(wait_ms), answer)) {
+  if (!ask_leader(contacts, call, Span(wait_ms), answer)) {
     std::cerr << "ring: no registry that leads answered within " << wait_ms << " ms\n";
     return failed;
   }
