--- a/tools/capacity.cpp
+++ b/tools/capacity.cpp
@@ -28,7 +28,7 @@
 namespace {
 
 constexpr double registry_mb = 40, hollow_mb = 0.12, backend_mb = 0.02;  // guesses for the check before a run
-constexpr Span follow_every{400};
+constexpr Span follow_every{400}, fetch_again{600}, count_every{1000};  // as a broker does
 
 std::string write(const Json::Value& value) {
   Json::StreamWriterBuilder builder;
@@ -114,8 +114,8 @@
 struct Hollow {
   std::unique_ptr<Spoke> spoke;
   std::string address;
-  Moment due{};
-  Edition held;
+  Moment due{}, fetched{}, counted{};
+  Edition held, wanted;
   std::uint64_t life = 0, mark = 0, seats_mark = 0, edges_held = 0;
 };
 
@@ -264,7 +264,8 @@
     follow.is_ready = true;
     follow.seats_mark = hollow.seats_mark;
     follow.edges_held = hollow.edges_held;
-    if (cells_) {
+    if (const Moment now = Clock::now(); cells_ && now - hollow.counted >= count_every) {
+      hollow.counted = now;
       EdgeCounts counts(static_cast<std::size_t>(cells_));
       for (int cell = 0; cell < cells_; ++cell) counts.add({service_name(cell), "zone-" + std::to_string(cell % 9), EdgeClass::light}, 10 + cell % 30, false);
       follow.edge_counts = counts.take();
@@ -281,7 +282,11 @@
       Beat beat;
       if (!decode(reader, beat)) return;
       hollow.seats_mark = beat.seats_mark;
-      if (beat.edition > hollow.held) follow(hollow, true);
+      const Moment now = Clock::now();
+      if (beat.edition <= hollow.held || (beat.edition == hollow.wanted && now - hollow.fetched < fetch_again)) return;
+      hollow.wanted = beat.edition;
+      hollow.fetched = now;
+      follow(hollow, true);
     } else if (head.kind == FrameKind::body) {
       Body body;
       if (decode(reader, body)) hollow.held = std::max(hollow.held, body.edition);
