--- a/src/coordination/ring_watch.cpp
+++ b/src/coordination/ring_watch.cpp
@@ -20,6 +20,21 @@
 
 }  // namespace
 
+Fault check_ring_file(const std::string& file, const Configuration& configuration, RingMap& ring) {
+  RingMap read;
+  if (Fault found = read_ring(file, read)) return found;
+  const auto rule = std::find_if(configuration.rules.begin(), configuration.rules.end(), [&](const Rule& one) { return one.name == read.rule; });
+  if (rule == configuration.rules.end() || rule->shares.empty()) return fault(Kind::invalid, "rule " + read.rule + " is no rule with a service or shares");
+  for (const RingNode& node : read.nodes) {
+    const bool is_allowed = std::any_of(rule->shares.begin(), rule->shares.end(), [&](const Share& share) {
+      return share.weight > 0 && configuration.services[share.service.value].name == node.name;
+    });
+    if (!is_allowed) return fault(Kind::invalid, "nodes " + node.name + ": rule " + read.rule + " does not allow it");
+  }
+  ring = std::move(read);
+  return {};
+}
+
 double RingLoads::fading(Moment since, Moment now) const {
   const double age = std::chrono::duration<double, std::milli>(now - since).count();
   return std::exp2(-age / static_cast<double>(half_life_.count()));
--- a/src/coordination/ring_watch.h
+++ b/src/coordination/ring_watch.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "state/configuration.h"
 #include "state/ring.h"
 
 namespace saddlewing {
@@ -98,6 +99,9 @@
   std::vector<std::string> over_;
 };
 
+// Reads an operator's file and checks it against the configuration: the ring never sends where no route allows it.
+Fault check_ring_file(const std::string& file, const Configuration& configuration, RingMap& ring);
+
 // What a move of this unit costs between these nodes: its megabytes, weighed by distance and by the slower end.
 double move_cost(const RingMap& ring, const RingUnit& unit, std::size_t from, std::size_t to, const WatchOptions& options);
 
--- a/src/programs/core_ring.cpp
+++ b/src/programs/core_ring.cpp
@@ -63,18 +63,8 @@
 }
 
 Fault Core::check_ring(const std::string& file, RingMap& ring) const {
-  if (Fault found = read_ring(file, ring)) return found;
   if (!configuration_) return fault(Kind::no_leader, "no configuration was taken yet");
-  const auto& rules = configuration_->rules;
-  const auto rule = std::find_if(rules.begin(), rules.end(), [&](const Rule& one) { return one.name == ring.rule; });
-  if (rule == rules.end() || rule->shares.empty()) return fault(Kind::invalid, "rule " + ring.rule + " is no rule with a service or shares");
-  for (const RingNode& node : ring.nodes) {
-    const bool is_allowed = std::any_of(rule->shares.begin(), rule->shares.end(), [&](const Share& share) {
-      return share.weight > 0 && configuration_->services[share.service.value].name == node.name;
-    });
-    if (!is_allowed) return fault(Kind::invalid, "nodes " + node.name + ": rule " + ring.rule + " does not allow it");
-  }
-  return {};
+  return check_ring_file(file, *configuration_, ring);
 }
 
 // Nothing of the nodes is forgotten before the last request that may still come there.
--- a/tests/evening.h
+++ b/tests/evening.h
@@ -113,6 +113,12 @@
   std::vector<ShardNode> nodes;
   std::array<Broker, 2> brokers;
   std::unique_ptr<RingMoves> moves;
+  RingLoads loads{Span(20000)};
+  AccountLoads account_loads{Span(20000), 256};
+  RingReport report() {
+    RingWatch watch{WatchOptions{}};
+    return watch.report(ring, loads.sums(ring.owners.size(), now), account_loads.sums(now));
+  }
   std::vector<double> short_times, heavy_times;
   Moment now = dawn;
   int come_backs = 0, messages = 0, last_id = 0, restarts = 0;
@@ -186,6 +192,11 @@
       broker.waiting.push(request, 0, true, request.until);
       return;
     }
+    if (!request.is_gathered()) {  // as brokers count: work by account, and by virtual node where the ring has it
+      const RingLoad load{1, request.is_heavy() ? 60.0 : 4.0, 0};
+      account_loads.add(request.account, load, now);
+      if (!view->map.placed.contains(request.account)) loads.add(view->map.find(request.account), load, now);
+    }
     Flight flight{request, view, now, {}, {}};
     for (std::size_t place = 0; place < nodes.size(); ++place)
       if (request.is_gathered() || place == owner) {
--- a/tests/evening_test.cpp
+++ b/tests/evening_test.cpp
@@ -57,6 +57,34 @@
   cr_expect(Evening::percentile(naive.short_times, 0.99) > Evening::percentile(moved.short_times, 0.99), "weighing the machines is worth something");
 }
 
+// From the report's own proposal to the load that shifted.
+Test(evening, what_the_report_proposes_shifts_what_it_says) {
+  Evening evening;
+  evening.moves_wanted = no_moves;
+  evening.length = Span(110000);
+  evening.restart_core();
+  const auto run_until = [&](Moment until) {
+    while (evening.now < until) evening.step();
+  };
+  run_until(dawn + 40s);
+  const RingReport before = evening.report();
+  cr_assert(!before.is_balanced() && !before.proposals.empty());
+  const MoveProposal proposal = before.proposals[0];
+  cr_expect(proposal.from == "quick-1", "%s", proposal.from.c_str());
+  evening.moves_wanted = {{proposal.unit.is_account() ? proposal.unit.account : std::to_string(proposal.unit.virtual_node), proposal.to}};
+  run_until(dawn + 110s);
+  cr_assert(evening.are_settled(1));
+  const RingReport after = evening.report();
+  std::printf("proposed: %s from %s to %s, %.2f to %.2f\n", proposal.unit.text().c_str(), proposal.from.c_str(), proposal.to.c_str(), proposal.share_from, proposal.share_to);
+  for (const NodeReport& node : after.nodes) {
+    const double expected = node.name == proposal.from ? proposal.share_from : node.name == proposal.to ? proposal.share_to : -1;
+    if (expected >= 0) cr_expect(std::abs(node.share - expected) < 0.2, "%s carries %.2f, %.2f was foretold", node.name.c_str(), node.share, expected);
+  }
+  run_until(dawn + 120s);
+  evening.recorder.close(evening.ring, evening.nodes, evening.last_id);
+  cr_expect(evening.recorder.wrongs() == 0, "%s", evening.recorder.text().c_str());
+}
+
 Test(evening, whoever_is_killed_or_cut_at_any_step_the_recorder_finds_nothing) {
   using Strike = Evening::Strike;
   for (const bool is_account : {true, false})
--- a/tests/ring_test.cpp
+++ b/tests/ring_test.cpp
@@ -170,3 +170,23 @@
   cr_expect(decode_loads(bytes, read) && read[0].second.busy_ms == 1.5);
   cr_expect(!decode_loads(bytes.substr(0, 20), read));
 }
+
+Test(ring, a_file_that_no_route_allows_is_refused_whole) {
+  ConfigurationCapture configuration;
+  const std::string body = R"({"version":1,"services":[{"name":"a"},{"name":"b"},{"name":"c"}],"routes":[)"
+                           R"({"name":"lookups","host":"h","path_start":"/l/","sort":"harmless","give_up_ms":1000,"target_ms":200,"shares":[{"service":"a","weight":1},{"service":"b","weight":0}]},)"
+                           R"({"name":"all","host":"h","path_start":"/g/","sort":"harmless","give_up_ms":1000,"target_ms":200,"ask_all":["a","b"],"best_count":1,"fewest_parts":1}]})";
+  const Fault read = read_configuration(body, configuration);
+  cr_assert(!read, "%s", read.text().c_str());
+  const auto check = [&](const std::string& rule, const std::string& node) {
+    RingMap ring;
+    const Fault found = check_ring_file("edition: 1\nrule: " + rule + "\nnodes:\n- {name: " + node + ", zone: x, memory_mb: 9, disk_mb: 9}\n", *configuration, ring);
+    cr_expect(ring.nodes.empty() == static_cast<bool>(found));
+    return found.step;
+  };
+  cr_expect(check("lookups", "a").empty());
+  cr_expect(check("lookups", "b") == "nodes b: rule lookups does not allow it", "a weight of 0 sends nothing there");
+  cr_expect(check("lookups", "c") == "nodes c: rule lookups does not allow it");
+  cr_expect(check("all", "a") == "rule all is no rule with a service or shares");
+  cr_expect(check("none", "a") == "rule none is no rule with a service or shares");
+}
