--- a/src/coordination/agreement.cpp
+++ b/src/coordination/agreement.cpp
@@ -4,7 +4,7 @@
 
 namespace saddlewing {
 
-using Type = Ballot::Type;
+using Type = RaftMessage::Type;
 
 Agreement::Agreement(Durable durable, AgreementOptions options, std::vector<std::string> contacts, Moment now)
     : durable_(std::move(durable)), options_(std::move(options)), contacts_(std::move(contacts)), draw_(options_.draw) {
@@ -14,19 +14,19 @@
   due_ = now;
 }
 
-Ballot Agreement::make(Type type) const {
-  Ballot ballot;
-  ballot.type = type;
-  ballot.from = durable_.self;
-  ballot.address = options_.address;
-  ballot.term = durable_.term;
-  ballot.entry_term = durable_.entry->term;
-  ballot.entry_index = durable_.entry->index;
-  return ballot;
+RaftMessage Agreement::make(Type type) const {
+  RaftMessage message;
+  message.type = type;
+  message.from = durable_.self;
+  message.address = options_.address;
+  message.term = durable_.term;
+  message.entry_term = durable_.entry->term;
+  message.entry_index = durable_.entry->index;
+  return message;
 }
 
-void Agreement::send(const std::string& to, Ballot ballot, bool is_durable) {
-  held_.push_back({is_durable ? serial_ : 0, {to, std::move(ballot)}});
+void Agreement::send(const std::string& to, RaftMessage message, bool is_durable) {
+  held_.push_back({is_durable ? serial_ : 0, {to, std::move(message)}});
 }
 
 bool Agreement::is_member(MemberId id) const {
@@ -34,8 +34,8 @@
   return std::any_of(members.begin(), members.end(), [&](const Member& member) { return member.id == id; });
 }
 
-bool Agreement::is_newer_or_same(const Ballot& ballot) const {
-  return std::pair(ballot.entry_term, ballot.entry_index) >= std::pair(durable_.entry->term, durable_.entry->index);
+bool Agreement::is_newer_or_same(const RaftMessage& message) const {
+  return std::pair(message.entry_term, message.entry_index) >= std::pair(durable_.entry->term, durable_.entry->index);
 }
 
 void Agreement::change_term(Term term, MemberId vote) {
@@ -79,8 +79,8 @@
   role_ = Role::follower;
 }
 
-void Agreement::start_prospect(Moment now) {
-  role_ = Role::prospect;
+void Agreement::start_pre_candidate(Moment now) {
+  role_ = Role::pre_candidate;
   ++attempts_;
   leader_id_ = {};
   leader_.clear();
@@ -89,14 +89,14 @@
   set_election(now);
   for (const Member& member : durable_.entry->members)
     if (member.id != durable_.self) {
-      Ballot ballot = make(Type::pre_vote);
-      ballot.term.value = durable_.term.value + 1;
-      send(member.address, std::move(ballot), false);
+      RaftMessage message = make(Type::pre_vote);
+      message.term.value = durable_.term.value + 1;
+      send(member.address, std::move(message), false);
     }
   count_votes(now);
 }
 
-void Agreement::start_candidate(bool is_handed_over, Moment now) {
+void Agreement::start_candidate(bool is_transfer, Moment now) {
   role_ = Role::candidate;
   leader_id_ = {};
   leader_.clear();
@@ -105,9 +105,9 @@
   set_election(now);
   for (const Member& member : durable_.entry->members)
     if (member.id != durable_.self) {
-      Ballot ballot = make(Type::vote);
-      ballot.is_handed_over = is_handed_over;
-      send(member.address, std::move(ballot), true);
+      RaftMessage message = make(Type::vote);
+      message.is_transfer = is_transfer;
+      send(member.address, std::move(message), true);
     }
 }
 
@@ -115,7 +115,7 @@
   std::size_t granted = 0;
   for (const auto& [id, is_granted] : votes_) granted += is_granted && is_member(id);
   if (granted < majority()) return;
-  if (role_ == Role::prospect) start_candidate(false, now);
+  if (role_ == Role::pre_candidate) start_candidate(false, now);
   else if (role_ == Role::candidate) start_leader(now);
 }
 
@@ -132,7 +132,7 @@
   start_entry(durable_.entry->members, now);
 }
 
-void Agreement::set_entry(EntryCapture entry) {
+void Agreement::set_entry(EntrySnapshot entry) {
   durable_.entry = std::move(entry);
   entry_serial_ = ++serial_;
 }
@@ -147,8 +147,8 @@
   for (Waiting& waiting : waiting_) {
     if (!waiting.sheet.empty()) {
       entry->sheets[waiting.sheet] = std::move(waiting.text);
-    } else if (waiting.edition > entry->edition) {
-      entry->edition = waiting.edition;
+    } else if (waiting.version > entry->version) {
+      entry->version = waiting.version;
       entry->body = std::move(waiting.body);
     }
     attached_.push_back(waiting.token);
@@ -174,7 +174,7 @@
 void Agreement::start_waiting(Moment now) {
   if (role_ != Role::leader || is_under_way_ || waiting_.empty()) return;
   const bool is_newer = std::any_of(waiting_.begin(), waiting_.end(),
-                                    [&](const Waiting& waiting) { return !waiting.sheet.empty() || waiting.edition > durable_.entry->edition; });
+                                    [&](const Waiting& waiting) { return !waiting.sheet.empty() || waiting.version > durable_.entry->version; });
   if (is_newer) return start_entry(durable_.entry->members, now);
   for (const Waiting& waiting : waiting_) results_.push_back({waiting.token, Verdict::done, nullptr});
   waiting_.clear();
@@ -197,15 +197,15 @@
 void Agreement::send_append(Peer& peer, Moment now, bool is_beat) {
   const bool should_carry = !peer.is_matched && (peer.sent_serial != entry_serial_ || now - peer.sent_at > options_.beat * 3);
   if (!should_carry && !is_beat) return;
-  Ballot ballot = make(Type::append);
-  ballot.round = round_;
-  if (committed_ && !is_under_way_) ballot.commit = durable_.entry->index;
+  RaftMessage message = make(Type::append);
+  message.round = round_;
+  if (committed_ && !is_under_way_) message.commit = durable_.entry->index;
   if (should_carry) {
-    ballot.entry = durable_.entry;
+    message.entry = durable_.entry;
     peer.sent_serial = entry_serial_;
     peer.sent_at = now;
   }
-  send(peer.address, std::move(ballot), false);
+  send(peer.address, std::move(message), false);
 }
 
 void Agreement::broadcast(Moment now, bool is_beat) {
@@ -236,9 +236,9 @@
   return count >= majority();
 }
 
-void Agreement::propose(Edition edition, std::string body, std::uint64_t token, Moment now) {
+void Agreement::propose(Version version, std::string body, std::uint64_t token, Moment now) {
   if (role_ != Role::leader) return results_.push_back({token, Verdict::failed, nullptr});
-  waiting_.push_back({edition, std::move(body), token, {}, {}});
+  waiting_.push_back({version, std::move(body), token, {}, {}});
   start_waiting(now);
 }
 
@@ -267,13 +267,13 @@
 }
 
 // Gives the lead to the member that holds most, at once.
-void Agreement::hand_over(Moment now) {
+void Agreement::transfer(Moment now) {
   if (role_ != Role::leader) return;
   const Peer* heir = nullptr;
   for (const auto& [id, peer] : peers_)
     if (is_member(id) && (!heir || std::pair(peer.is_matched, peer.heard) > std::pair(heir->is_matched, heir->heard)))
       heir = &peer;
-  if (heir) send(heir->address, make(Type::hand_over), false);
+  if (heir) send(heir->address, make(Type::transfer), false);
   follow(durable_.term, now);
   election_ = now + options_.election * 3;
 }
@@ -311,7 +311,7 @@
 void Agreement::tick(Moment now) {
   const bool is_stuck = save_started_ && now - *save_started_ > options_.stuck;
   if (role_ == Role::leader) {
-    if (is_stuck) hand_over(now);
+    if (is_stuck) transfer(now);
     else if (heard_since(now - options_.election * 2) < majority()) follow(durable_.term, now);
   }
   if (role_ == Role::leader) {
@@ -325,10 +325,10 @@
     due_ = beat_due_;
     return;
   }
-  const bool may_lead = is_member(durable_.self) && !is_stranger_;
+  const bool may_lead = is_member(durable_.self) && !is_removed_;
   if (now >= election_) {
     if (may_lead && !is_stuck) {
-      start_prospect(now);
+      start_pre_candidate(now);
     } else {
       set_election(now);
       if (!may_lead && now - heard_leader_ > options_.election) ask_to_join(now);
@@ -341,7 +341,7 @@
   save_started_.reset();
   if (!is_saved) {
     save_retry_ = now + 300ms;
-    if (role_ == Role::leader) hand_over(now);
+    if (role_ == Role::leader) transfer(now);
     return;
   }
   saved_ = std::max(saved_, serial);
@@ -359,8 +359,8 @@
     output.save = Save{serial_, durable_};
   }
   std::erase_if(held_, [&](Held& held) {
-    if (held.need > saved_) return held.letter.ballot.term < durable_.term;  // a stale promise is worth nothing
-    output.letters.push_back(std::move(held.letter));
+    if (held.need > saved_) return held.outgoing.message.term < durable_.term;  // a stale promise is worth nothing
+    output.messages.push_back(std::move(held.outgoing));
     return true;
   });
   output.results.swap(results_);
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -1,6 +1,6 @@
 #pragma once
 // Raft among the registries over one small state: the newest configuration and the members of the core.
-// Pure: ballots, saves and a clock go in; letters, saves and results come out.
+// Pure: messages, saves and a clock go in; messages, saves and results come out.
 //
 // Every entry carries the whole state, so the log is its last entry alone: a follower that takes the leader's entry
 // has all that came before it, and a voter compares (term, index) of last entries as usual. One entry is under way
@@ -29,37 +29,37 @@
 
 class Agreement {
  public:
-  enum class Role { follower, prospect, candidate, leader };
+  enum class Role { follower, pre_candidate, candidate, leader };
   enum class Verdict { done, failed };
-  struct Letter {
+  struct Outgoing {
     std::string to;
-    Ballot ballot;
+    RaftMessage message;
   };
   struct Result {
     std::uint64_t token;
     Verdict verdict;
-    EntryCapture state;  // of a confirmed read
+    EntrySnapshot state;  // of a confirmed read
   };
   struct Save {
     std::uint64_t serial;
     Durable durable;
   };
   struct Output {
-    std::vector<Letter> letters;
+    std::vector<Outgoing> messages;
     std::vector<Result> results;
     std::optional<Save> save;
   };
 
   Agreement(Durable durable, AgreementOptions options, std::vector<std::string> contacts, Moment now);
 
-  void receive(const Ballot& ballot, Moment now);
+  void receive(const RaftMessage& message, Moment now);
   void tick(Moment now);
   void finish_save(std::uint64_t serial, bool is_saved, Moment now);
-  void propose(Edition edition, std::string body, std::uint64_t token, Moment now);
+  void propose(Version version, std::string body, std::uint64_t token, Moment now);
   // Replaces one sheet. Only the leader's own parts propose, each after its last proposal was committed.
   void propose_sheet(std::string name, std::string text, std::uint64_t token, Moment now);
   void confirm_read(std::uint64_t token, Moment now);
-  void hand_over(Moment now);
+  void transfer(Moment now);
   void set_contacts(std::vector<std::string> contacts) { contacts_ = std::move(contacts); }
   Output take(Moment now);
   Moment next_due() const { return due_; }
@@ -70,7 +70,7 @@
   const std::string& leader_address() const { return leader_; }
   MemberId self() const { return durable_.self; }
   // Null until this life knows something committed.
-  const EntryCapture& committed() const { return committed_; }
+  const EntrySnapshot& committed() const { return committed_; }
   // A quorum stands behind what this node holds committed.
   bool is_confirmed(Moment now) const;
   // Nobody else can lead before now: a majority answered a beat that left within the least election time-out.
@@ -87,30 +87,30 @@
     Moment leased{};  // when the beat left that it answered last
   };
   struct Waiting {
-    Edition edition;
+    Version version;
     std::string body;
     std::uint64_t token;
-    std::string sheet, text;  // a sheet by name, instead of an edition
+    std::string sheet, text;  // a sheet by name, instead of an version
   };
   struct Read {
     std::uint64_t token, round;
   };
 
-  Ballot make(Ballot::Type type) const;
-  void send(const std::string& to, Ballot ballot, bool is_durable);
+  RaftMessage make(RaftMessage::Type type) const;
+  void send(const std::string& to, RaftMessage message, bool is_durable);
   bool is_member(MemberId id) const;
   std::size_t majority() const { return durable_.entry->members.size() / 2 + 1; }
-  bool is_newer_or_same(const Ballot& ballot) const;
+  bool is_newer_or_same(const RaftMessage& message) const;
   std::size_t heard_since(Moment since) const;
 
   void change_term(Term term, MemberId vote);
   void follow(Term term, Moment now);
   void set_election(Moment now);
-  void start_prospect(Moment now);
-  void start_candidate(bool is_handed_over, Moment now);
+  void start_pre_candidate(Moment now);
+  void start_candidate(bool is_transfer, Moment now);
   void start_leader(Moment now);
   void count_votes(Moment now);
-  void set_entry(EntryCapture entry);
+  void set_entry(EntrySnapshot entry);
   void start_entry(std::vector<Member> members, Moment now);
   void start_waiting(Moment now);
   void check_commit(Moment now);
@@ -118,15 +118,15 @@
   void tend_members(Moment now);
   void broadcast(Moment now, bool is_beat);
   void send_append(Peer& peer, Moment now, bool is_beat);
-  void take_append(const Ballot& ballot, Moment now);
-  void take_appended(const Ballot& ballot, Moment now);
-  void take_vote(const Ballot& ballot, Moment now);
-  void take_pre_vote(const Ballot& ballot, Moment now);
-  void take_join(const Ballot& ballot, Moment now);
+  void take_append(const RaftMessage& message, Moment now);
+  void take_appended(const RaftMessage& message, Moment now);
+  void take_vote(const RaftMessage& message, Moment now);
+  void take_pre_vote(const RaftMessage& message, Moment now);
+  void take_join(const RaftMessage& message, Moment now);
   void ask_to_join(Moment now);
   void fail_all();
 
-  // Invariant: `serial_` counts changes of durable_; letters that promise one wait until `saved_` reached it.
+  // Invariant: `serial_` counts changes of durable_; messages that promise one wait until `saved_` reached it.
   Durable durable_;
   std::uint64_t serial_ = 0, saved_ = 0, entry_serial_ = 0, saving_ = 0;
   std::optional<Moment> save_started_;
@@ -139,12 +139,12 @@
   MemberId leader_id_;
   std::string leader_;
   Moment heard_leader_{}, due_{}, election_{}, beat_due_{};
-  bool is_stranger_ = false;
+  bool is_removed_ = false;
   int attempts_ = 0;  // to lead, since a leader was heard
   std::map<MemberId, bool> votes_;
   std::map<MemberId, Peer> peers_;     // of a leader: members but itself, and learners
   std::map<MemberId, Moment> learners_;  // when they last asked or answered
-  EntryCapture committed_;
+  EntrySnapshot committed_;
   bool is_under_way_ = false;          // of a leader: its last entry is not committed yet
   std::vector<std::uint64_t> attached_;  // tokens answered by the entry under way
   std::vector<Waiting> waiting_;
@@ -154,7 +154,7 @@
 
   struct Held {
     std::uint64_t need;
-    Letter letter;
+    Outgoing outgoing;
   };
   std::vector<Held> held_;
   std::vector<Result> results_;
--- a/src/coordination/aid.cpp
+++ b/src/coordination/aid.cpp
@@ -5,7 +5,7 @@
 AidWork::AidWork(Ground& ground, std::uint64_t token, std::vector<Candidates> parts, std::size_t best_count, Span flush_after,
                  Span time_left, Moment now)
     : ground_(ground), token_(token), candidates_(std::move(parts)), parts_(candidates_.size()), best_count_(best_count), began_(now),
-      flush_at_(now + std::min(flush_after, time_left)), cutoff_(now + time_left), best_(best_count) {}
+      flush_at_(now + std::min(flush_after, time_left)), deadline_(now + time_left), best_(best_count) {}
 
 void AidWork::start(Moment now) {
   for (std::size_t index = 0; index < parts_.size() && is_open(); ++index) ask(index, now);
@@ -68,7 +68,7 @@
 
 void AidWork::on_due(Moment now) {
   if (!is_open()) return;
-  if (now >= cutoff_) {
+  if (now >= deadline_) {
     is_closed_ = true;
     return;
   }
--- a/src/coordination/aid.h
+++ b/src/coordination/aid.h
@@ -28,10 +28,10 @@
   void on_due(Moment now) override;
   void take_outcome(std::size_t part, BackendOutcome outcome, Span took, Moment now) override;
   void take_breakdown(std::size_t part, Kind kind, bool may_have_run, Moment now) override;
-  Moment cutoff() const override { return cutoff_; }
+  Moment deadline() const override { return deadline_; }
   bool is_gathering() const override { return true; }
   bool is_open() const override { return !is_closed_; }
-  Moment next_due() const override { return has_flushed_ || !settled_ ? cutoff_ : flush_at_; }
+  Moment next_due() const override { return has_flushed_ || !settled_ ? deadline_ : flush_at_; }
 
  private:
   struct Part {
@@ -47,7 +47,7 @@
   std::vector<Candidates> candidates_;
   std::vector<Part> parts_;
   std::size_t best_count_, settled_ = 0;
-  Moment began_, flush_at_, cutoff_;
+  Moment began_, flush_at_, deadline_;
   BestRecords best_;
   Aided next_;               // what goes out with the next frame
   bool has_flushed_ = false;  // from then on each part goes alone, so that the other side may drop any of them
--- a/src/coordination/asker.h
+++ b/src/coordination/asker.h
@@ -34,7 +34,7 @@
   virtual ~Asker() = default;
   virtual void take_outcome(std::size_t part, BackendOutcome outcome, Span took, Moment now) = 0;
   virtual void take_breakdown(std::size_t part, Kind kind, bool may_have_run, Moment now) = 0;
-  virtual Moment cutoff() const = 0;
+  virtual Moment deadline() const = 0;
   virtual bool is_gathering() const = 0;  // then reason and fields are of no use to it
   virtual void on_due(Moment now) = 0;
   virtual bool is_open() const = 0;
--- a/src/coordination/backend.h
+++ b/src/coordination/backend.h
@@ -45,7 +45,7 @@
   int capacity = 1;
   Status status = Status::starting;
   Moment warm_until{};
-  bool is_cancelled = false;  // emptying or gone: nothing more is sent, whatever capture an errand began with
+  bool is_cancelled = false;  // emptying or gone: nothing more is sent, whatever snapshot an errand began with
 
   int asked = 0;              // own requests at work there
   Moment last_asked{};
@@ -86,10 +86,10 @@
 
 // The table of one moment: a configuration and who serves it. Immutable, swapped whole.
 struct Table {
-  ConfigurationCapture configuration;
+  ConfigurationSnapshot configuration;
   std::vector<std::vector<BackendPointer>> by_service;  // by ServiceIndex
 };
-using TableCapture = std::shared_ptr<const Table>;
+using TableSnapshot = std::shared_ptr<const Table>;
 
 struct PickPlace {
   std::string locality, region;
--- a/src/coordination/errand.cpp
+++ b/src/coordination/errand.cpp
@@ -16,10 +16,10 @@
 
 }  // namespace
 
-Errand::Errand(Ground& ground, TableCapture table, const Rule& rule, Moment began, Span time_left)
+Errand::Errand(Ground& ground, TableSnapshot table, const Rule& rule, Moment began, Span time_left)
     : ground_(ground), table_(std::move(table)), rule_(rule), began_(began),
-      cutoff_(began + std::max(Span(1), std::min(time_left, rule.give_up) - way_back)),
-      prompt_(std::min(began + std::max(rule.target - answer_way, rule.target / 2), cutoff_ - 1ms)), due_(cutoff_),
+      deadline_(began + std::max(Span(1), std::min(time_left, rule.give_up) - way_back)),
+      prompt_(std::min(began + std::max(rule.target - answer_way, rule.target / 2), deadline_ - 1ms)), due_(deadline_),
       best_(static_cast<std::size_t>(std::max(1, rule.best_count))) {}
 
 void Errand::start(Moment now, bool is_again) {
@@ -60,7 +60,7 @@
 }
 
 bool Errand::may_restart(Moment now) {
-  if (!is_open() || now >= cutoff_ - way_back) return false;
+  if (!is_open() || now >= deadline_ - way_back) return false;
   const bool is_at_work = std::any_of(parts_.begin(), parts_.end(), [](const Part& part) { return part.active > 1; });
   if (!rule_.is_harmless && (has_run_ || is_at_work)) return false;  // the asking that was turned away is still counted as active
   const double reserve = ground_.reserve(now);
@@ -188,8 +188,8 @@
 
 void Errand::on_due(Moment now) {
   if (!is_open()) return;
-  if (now >= cutoff_) {
-    if (worst_ == Kind::none || status_of(worst_).status == 503) worst_ = has_run_ || done_ || state_ != State::holding ? Kind::cutoff_reached : Kind::overloaded;
+  if (now >= deadline_) {
+    if (worst_ == Kind::none || status_of(worst_).status == 503) worst_ = has_run_ || done_ || state_ != State::holding ? Kind::deadline_reached : Kind::overloaded;
     if (is_gathering() && static_cast<double>(done_) >= rule_.fewest_parts * static_cast<double>(parts_.size()) && done_) return finish_gathered(now);
     return finish_failed(now);
   }
@@ -206,7 +206,7 @@
 
 void Errand::on_turn(Moment now) {
   is_waiting_turn_ = false;
-  if (!is_open() || now >= cutoff_) return;
+  if (!is_open() || now >= deadline_) return;
   if (state_ == State::holding) state_ = State::asking;
   for (std::size_t index = 0; index < parts_.size() && is_open(); ++index)
     if (Part& part = parts_[index]; !part.is_done && !part.is_failed && !part.active) ask(index, false, now);
@@ -231,7 +231,7 @@
 }
 
 void Errand::plan(Moment now) {
-  due_ = cutoff_;
+  due_ = deadline_;
   if (is_gathering() && now < prompt_) due_ = prompt_;
   for (const Part& part : parts_) {
     if (part.is_done || part.is_failed) continue;
@@ -259,7 +259,7 @@
   answer.kind = worst_;
   // 503 promises that nothing ran and nothing will: an asking still at work forbids it.
   const bool is_at_work = std::any_of(parts_.begin(), parts_.end(), [](const Part& part) { return part.active > 0; });
-  if (status_of(worst_).status == 503 && (has_run_ || is_at_work || done_)) answer.kind = is_at_work ? Kind::cutoff_reached : Kind::broke_off;
+  if (status_of(worst_).status == 503 && (has_run_ || is_at_work || done_)) answer.kind = is_at_work ? Kind::deadline_reached : Kind::broke_off;
   if (status_of(answer.kind).status == 503) answer.retry_after = Span(300);
   finish(std::move(answer), now);
 }
--- a/src/coordination/errand.h
+++ b/src/coordination/errand.h
@@ -48,7 +48,7 @@
     virtual double draw() = 0;  // in [0, 1)
   };
 
-  Errand(Ground& ground, TableCapture table, const Rule& rule, Moment began, Span time_left);
+  Errand(Ground& ground, TableSnapshot table, const Rule& rule, Moment began, Span time_left);
 
   void start(Moment now, bool is_again = false);  // is_again: its requests were counted before, these are further ones
   // Whether it may end here and a new one begin in its place: nothing of a risky one has run, and the allowance covers it.
@@ -68,7 +68,7 @@
   State state() const { return state_; }
   bool is_open() const override { return state_ != State::closed; }
   Moment next_due() const override { return due_; }
-  Moment cutoff() const override { return cutoff_; }
+  Moment deadline() const override { return deadline_; }
   const Rule& rule() const { return rule_; }
   Moment began() const { return began_; }
   void choose(ServiceIndex service) { chosen_ = service; }  // before its start: instead of a draw among the shares
@@ -103,10 +103,10 @@
   void weigh(const Part& part, Span took);
 
   Ground& ground_;
-  const TableCapture table_;
+  const TableSnapshot table_;
   std::optional<ServiceIndex> chosen_;
   const Rule& rule_;  // within table_'s configuration
-  const Moment began_, cutoff_, prompt_;  // prompt_: from here on parts may be left out
+  const Moment began_, deadline_, prompt_;  // prompt_: from here on parts may be left out
   Moment due_;
   State state_ = State::matching;
   bool is_waiting_turn_ = false;
--- a/src/coordination/session.cpp
+++ b/src/coordination/session.cpp
@@ -41,7 +41,7 @@
 
 void Session::greet(WireMessage&& message) {
   if (message.kind != WireKind::connect || message.fields.size() < 2) return take_wrong(Verdict::garbled);
-  const ConfigurationCapture& configuration = ground_.configuration();
+  const ConfigurationSnapshot& configuration = ground_.configuration();
   const bool is_known = configuration && configuration->match_database(message.field(0));
   if (!is_known) {
     const Verdict verdict = configuration ? Verdict::no_database : Verdict::busy;
@@ -158,8 +158,8 @@
   tries_ = 0;
   most_tries_ = std::max(2, rule_.tries);
   began_ = now;
-  cutoff_ = now + rule_.give_up;
-  ground_.set_due(*this, cutoff_);
+  deadline_ = now + rule_.give_up;
+  ground_.set_due(*this, deadline_);
   proceed(now);
 }
 
@@ -284,7 +284,7 @@
 // The statement may have run and its outcome is not known.
 void Session::lose_outcome(Moment now) {
   if (is_write_) return finish_failed(Verdict::unknown, "the outcome was lost", now);
-  if (!has_change_ && may_try_again() && now < cutoff_) return proceed(now);
+  if (!has_change_ && may_try_again() && now < deadline_) return proceed(now);
   finish_failed(Verdict::undone, "the outcome was lost", now);  // reads keep nothing, and what was not saved is rolled back
 }
 
--- a/src/coordination/session.h
+++ b/src/coordination/session.h
@@ -20,7 +20,7 @@
 class SessionGround {
  public:
   virtual ~SessionGround() = default;
-  virtual const ConfigurationCapture& configuration() const = 0;  // null: none yet
+  virtual const ConfigurationSnapshot& configuration() const = 0;  // null: none yet
   virtual DatabaseChoice choose(const Session& session, const std::string& service, const Rule& rule, bool must_lead, Moment began, Moment now) = 0;
   virtual bool holds_lead(const Backend& backend, Moment now) const = 0;
   virtual bool may_wait(Session& session) = 0;       // until `proceed` is called; false: too many wait
@@ -102,7 +102,7 @@
   Verb verb_ = Verb::none;
   bool is_write_ = false;   // its effect would last: a WRITE outside a transaction, or SAVE
   const Prepared* prepared_ = nullptr;
-  Moment began_{}, cutoff_{};
+  Moment began_{}, deadline_{};
   int tries_ = 0, most_tries_ = 2;
 };
 
--- a/src/programs/aids.cpp
+++ b/src/programs/aids.cpp
@@ -71,7 +71,7 @@
   const Span frame_after = std::max(flush_after - Span(static_cast<std::int64_t>(aide.way_ms) + frame_margin_ms), Span(1));
   Aid aid{++last_aid_, trip->second->method, trip->second->try_id, trip->second->head_start, trip->second->body, {},
           static_cast<std::uint64_t>(errand.rule().best_count),
-          static_cast<std::uint64_t>(std::max<std::int64_t>(1, span_between(now, errand.cutoff()).count())),
+          static_cast<std::uint64_t>(std::max<std::int64_t>(1, span_between(now, errand.deadline()).count())),
           static_cast<std::uint64_t>(frame_after.count())};
   for (const std::size_t index : best_parts) aid.services.push_back(errand.table().configuration->services[shards[index].value].name);
   const std::string from = Address{startup_.ip_address, startup_.own_port}.text();
--- a/src/programs/check_program.cpp
+++ b/src/programs/check_program.cpp
@@ -41,8 +41,8 @@
     Startup startup;
     found = check_startup(text.str(), root.isMember("data_folder"), startup);
   } else {
-    ConfigurationCapture capture;
-    found = read_configuration(text.str(), capture);
+    ConfigurationSnapshot snapshot;
+    found = read_configuration(text.str(), snapshot);
   }
   if (found) {
     std::cerr << path << ": " << found.text() << "\n";
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -118,7 +118,7 @@
     handle_output(now);
     if (should_leave_ && leave_by == Moment::max()) {
       LOG(INFO) << "agree: leaving";
-      agreement_.hand_over(now);
+      agreement_.transfer(now);
       handle_output(now);
       leave_by = now + call_wait;
     }
@@ -155,15 +155,15 @@
   bool is_good = decode_head(reader, head);
   if (is_good) {
     switch (head.kind) {
-      case FrameKind::ballot: {
-        Ballot ballot;
-        if ((is_good = decode(reader, ballot) && ballot.address == head.from)) agreement_.receive(ballot, now);
+      case FrameKind::raft: {
+        RaftMessage message;
+        if ((is_good = decode(reader, message) && message.address == head.from)) agreement_.receive(message, now);
         break;
       }
       case FrameKind::forward: {
         Forward forward;
         if ((is_good = decode(reader, forward)))
-          add_call({0, forward.is_read, forward.edition, std::move(forward.body)}, head.from, forward.token, now);
+          add_call({0, forward.is_read, forward.version, std::move(forward.body)}, head.from, forward.token, now);
         break;
       }
       case FrameKind::forwarded: {
@@ -222,7 +222,7 @@
 
 void Core::add_call(OperatorCall call, std::string origin, std::uint64_t origin_token, Moment now) {
   const std::uint64_t token = ++last_call_;
-  if (!call.is_read) steps_.note(call.edition, origin.empty() ? "taken" : "passed on", now);
+  if (!call.is_read) steps_.note(call.version, origin.empty() ? "taken" : "passed on", now);
   calls_[token] = {std::move(call), std::move(origin), origin_token, {}, now + call_wait};
 }
 
@@ -230,23 +230,23 @@
 void Core::route_calls(Moment now) {
   std::vector<std::uint64_t> ended, settled;
   for (auto& [token, pending] : calls_) {
-    const EntryCapture& committed = agreement_.committed();
-    if (!pending.call.is_read && committed && committed->edition >= pending.call.edition) {
+    const EntrySnapshot& committed = agreement_.committed();
+    if (!pending.call.is_read && committed && committed->version >= pending.call.version) {
       settled.push_back(token);
-    } else if (now > pending.cutoff) {
+    } else if (now > pending.deadline) {
       ended.push_back(token);
     } else if (!pending.sent_to.empty()) {
       if (pending.sent_to != agreement_.leader_address() && !pending.call.is_read && !agreement_.leader_address().empty())
         pending.sent_to.clear();
     }
-    if (!pending.sent_to.empty() || now > pending.cutoff) continue;
+    if (!pending.sent_to.empty() || now > pending.deadline) continue;
     if (agreement_.is_leader()) {
       pending.sent_to = address_;
       if (pending.call.is_read) agreement_.confirm_read(token, now);
-      else agreement_.propose(pending.call.edition, pending.call.body, token, now);
+      else agreement_.propose(pending.call.version, pending.call.body, token, now);
     } else if (!agreement_.leader_address().empty() && pending.origin.empty()) {
       pending.sent_to = agreement_.leader_address();
-      send_to(pending.sent_to, encode(head(), Forward{token, pending.call.is_read, pending.call.edition, pending.call.body}));
+      send_to(pending.sent_to, encode(head(), Forward{token, pending.call.is_read, pending.call.version, pending.call.body}));
     } else if (!pending.origin.empty()) {
       ended.push_back(token);  // passed on to one that does not lead
     }
@@ -267,7 +267,7 @@
 void Core::handle_output(Moment now) {
   Agreement::Output output = agreement_.take(now);
   if (output.save && !vault_->save(std::move(*output.save))) LOG(ERROR) << "agree: disk thread is behind";
-  for (const auto& letter : output.letters) send_to(letter.to, encode(head(), letter.ballot));
+  for (const auto& outgoing : output.messages) send_to(outgoing.to, encode(head(), outgoing.message));
   for (const auto& result : output.results) {
     if (result.token == ~0ull) failover_.finish_proposal();
     if (result.token == ~0ull - 1) ring_moves_.finish_proposal();
@@ -284,26 +284,26 @@
     LOG(INFO) << "agree: " << (was_leader_ ? "leads" : "follows") << " in term " << agreement_.term().value;
   }
   if (!agreement_.committed() || agreement_.committed() == noted_) return;
-  const bool is_new_edition = !noted_ || noted_->edition != agreement_.committed()->edition;
+  const bool is_new_version = !noted_ || noted_->version != agreement_.committed()->version;
   noted_ = agreement_.committed();
-  if (!is_new_edition || noted_->edition.value == 0) return;
-  steps_.note(noted_->edition, "committed", now);
-  rollout_.commit(noted_->edition, now);
-  metrics().set(Metric::edition, noted_->edition.value);
-  LOG(INFO) << "agree: edition " << noted_->edition.value << " committed";
-  ConfigurationCapture capture;
-  if (Fault found = read_configuration(noted_->body, capture)) {
+  if (!is_new_version || noted_->version.value == 0) return;
+  steps_.note(noted_->version, "committed", now);
+  rollout_.commit(noted_->version, now);
+  metrics().set(Metric::version, noted_->version.value);
+  LOG(INFO) << "agree: edition " << noted_->version.value << " committed";
+  ConfigurationSnapshot snapshot;
+  if (Fault found = read_configuration(noted_->body, snapshot)) {
     LOG(ERROR) << "agree: committed configuration unreadable: " << found.text();
     return;
   }
-  configuration_ = std::move(capture);
+  configuration_ = std::move(snapshot);
   packed_ = pack(noted_->body);
   std::set<std::string> services;
   for (const Service& service : configuration_->services) services.insert(service.name);
   registry_.name_services(std::move(services));
   ordered_mark_ = ~0ull;
   for (auto& [from, broker] : brokers_) send_beat(broker, false, now);
-  if (!brokers_.empty()) steps_.note(noted_->edition, "sent", now);
+  if (!brokers_.empty()) steps_.note(noted_->version, "sent", now);
 }
 
 }  // namespace saddlewing
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -50,14 +50,14 @@
     std::string origin;           // inner address of the registry that passed it on; empty: the own desk
     std::uint64_t origin_token = 0;
     std::string sent_to;          // the leader that has it; empty: nobody yet
-    Moment cutoff;
+    Moment deadline;
   };
   struct Broker {
     std::string route, from, region;
     LifeId life;
     bool is_ready = false;
     std::uint64_t seats_mark = 0;  // of the seats it knows
-    Edition held;
+    Version held;
     std::uint64_t sent_mark = 0;
     bool wants_roster = false, is_pooler = false;
     std::uint64_t token = 0, leads_mark = 0;  // of its last follow
@@ -107,7 +107,7 @@
   void take_pooler(const FrameHead& from, const Follow& follow, Broker& broker, Beat& beat, Moment now);
   void send_to(const std::string& address, const std::string& bytes);
   void reach(const std::string& address);
-  FrameHead head() const { return {FrameKind::ballot, life_, address_}; }
+  FrameHead head() const { return {FrameKind::raft, life_, address_}; }
 
   const Startup startup_;
   const LifeId life_;
@@ -127,7 +127,7 @@
   Failover failover_;
   LeadTable leads_;         // as committed
   std::string leads_text_;  // the same, as it travels
-  EntryCapture leads_seen_;
+  EntrySnapshot leads_seen_;
   RingSheet ring_sheet_;    // as committed; mark 0: none
   std::string ring_text_;
   RingMap ring_;
@@ -139,7 +139,7 @@
   double lookups_ = 0, late_lookups_ = 0;
   Moment ring_due_{}, ring_watched_{};
   bool is_ring_over_ = false;
-  EntryCapture ring_seen_;
+  EntrySnapshot ring_seen_;
   // Ready brokers by region, each list ordered by the hash of its address; made anew when one came, went or changed.
   using SeatRing = std::vector<std::pair<std::size_t, std::string>>;
   std::map<std::string, SeatRing> seats_;
@@ -167,8 +167,8 @@
   std::uint64_t last_call_ = 0;
   std::map<std::string, Broker> brokers_;  // by inner address
   std::map<std::string, Peer> peers_;      // by inner address
-  EntryCapture noted_;                     // the committed entry that was made known
-  ConfigurationCapture configuration_;
+  EntrySnapshot noted_;                     // the committed entry that was made known
+  ConfigurationSnapshot configuration_;
   std::string packed_;                     // its body, as brokers get it
   Rollout rollout_;
   Grants grants_;
--- a/src/programs/core_databases.cpp
+++ b/src/programs/core_databases.cpp
@@ -47,7 +47,7 @@
       for (const std::string& address : agreement_.known_addresses()) send_to(address, bytes);
     }
   }
-  const EntryCapture& committed = agreement_.committed();
+  const EntrySnapshot& committed = agreement_.committed();
   if (committed && committed != leads_seen_) {
     leads_seen_ = committed;
     const auto sheet = committed->sheets.find(leads_sheet);
--- a/src/programs/core_edges.cpp
+++ b/src/programs/core_edges.cpp
@@ -32,16 +32,16 @@
   if (!decode_view(frame.view, *view) || view->mark < edge_judge_.view()->mark) return metrics().add(Metric::edge_frames_dropped);
   if (!edge_judge_.take(std::move(view), now)) return;
   edges_text_ = frame.view;
-  edge_rollout_.commit(Edition{static_cast<std::int64_t>(edge_judge_.view()->mark)}, now);
+  edge_rollout_.commit(Version{static_cast<std::int64_t>(edge_judge_.view()->mark)}, now);
 }
 
 void Core::tend_edges(Moment now) {
   if (!startup_.has_edges) return;
   const bool is_leading = agreement_.is_leader() && agreement_.is_confirmed(now);
   if (is_leading) {
-    std::vector<Edition> held;
+    std::vector<Version> held;
     for (const auto& [from, broker] : brokers_)
-      if (!broker.is_pooler) held.push_back(Edition{static_cast<std::int64_t>(broker.edges_held)});
+      if (!broker.is_pooler) held.push_back(Version{static_cast<std::int64_t>(broker.edges_held)});
     const Rollout::Turn turn = edge_rollout_.advance(held, now);
     if (turn != Rollout::Turn::none) {
       LOG(INFO) << "edges: view " << (edge_judge_.view()->mark & 0xffffffff) << " in force, " << (turn == Rollout::Turn::held_by_all ? "held by all" : "waited enough");
@@ -71,7 +71,7 @@
   const EdgeSnapshot view = edge_judge_.judge(agreement_.term().value, capacity, now);
   if (view) {
     edges_text_ = encode_view(*view);
-    edge_rollout_.commit(Edition{static_cast<std::int64_t>(view->mark)}, now);
+    edge_rollout_.commit(Version{static_cast<std::int64_t>(view->mark)}, now);
     std::int64_t avoided = 0;
     for (const EdgeState& state : view->states) {
       avoided += state.verdict == EdgeState::Verdict::avoided;
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -122,7 +122,7 @@
   beat.is_leader = agreement_.is_leader();
   beat.locality = startup_.locality;
   beat.region = startup_.region;
-  if (agreement_.committed()) beat.edition = agreement_.committed()->edition;
+  if (agreement_.committed()) beat.version = agreement_.committed()->version;
   beat.in_force = rollout_.in_force();
   beat.is_confirmed = agreement_.is_confirmed(now);
   beat.is_filled = registry_.is_filled();
@@ -152,14 +152,14 @@
 void Core::take_follow(const std::string& route, const FrameHead& from, const Follow& follow, Moment now) {
   Broker& broker = brokers_[from.from];
   are_seats_old_ = are_seats_old_ || broker.is_ready != follow.is_ready || broker.region != follow.region;
-  if (broker.held < follow.edition) LOG(INFO) << "registry: broker " << from.from << " holds edition " << follow.edition.value;
+  if (broker.held < follow.version) LOG(INFO) << "registry: broker " << from.from << " holds edition " << follow.version.value;
   broker.route = route;
   broker.from = from.from;
   broker.region = follow.region;
   broker.life = from.life;
   broker.is_ready = follow.is_ready;
   broker.seats_mark = follow.seats_mark;
-  broker.held = follow.edition;
+  broker.held = follow.version;
   broker.heard = now;
   broker.sent_mark = follow.roster_life == life_.value ? follow.roster_mark : 0;
   broker.wants_roster = follow.wants_roster;
@@ -170,8 +170,8 @@
   else take_ring_follow(from, follow, beat, now);
   if (startup_.has_edges && !broker.is_pooler) take_edge_follow(follow, broker);
   send_beat(broker, true, now, std::move(beat));
-  if (follow.wants_body && configuration_ && configuration_->edition > follow.edition)
-    hub_.send(route, encode(head(), Body{configuration_->edition, packed_}));
+  if (follow.wants_body && configuration_ && configuration_->version > follow.version)
+    hub_.send(route, encode(head(), Body{configuration_->version, packed_}));
   if (follow.wants_roster && broker.sent_mark == 0 && registry_.mark() == 0) hub_.send(route, encode(head(), registry_.since(0, now)));
 }
 
@@ -196,7 +196,7 @@
 
 // After a loss of all power every broker is the first one heard. What each may open is by the number that there was.
 void Core::remember_brokers(Moment now) {
-  if (const EntryCapture& committed = agreement_.committed()) {
+  if (const EntrySnapshot& committed = agreement_.committed()) {
     const auto sheet = committed->sheets.find(fleet_sheet);
     ByteReader reader(sheet != committed->sheets.end() ? std::string_view(sheet->second) : std::string_view());
     if (const std::uint64_t count = reader.number(); reader.is_whole()) remembered_brokers_ = count;
@@ -212,7 +212,7 @@
 
 void Core::tend_rollout(Moment now) {
   if (!rollout_.is_pending()) return;
-  std::vector<Edition> held;
+  std::vector<Version> held;
   for (const auto& [from, broker] : brokers_) held.push_back(broker.held);
   const Rollout::Turn turn = rollout_.advance(held, now);
   if (turn == Rollout::Turn::none) return;
@@ -224,7 +224,7 @@
   Traced traced;
   traced.node = startup_.node_name;
   traced.role = "registry";
-  if (agreement_.committed()) traced.held = agreement_.committed()->edition;
+  if (agreement_.committed()) traced.held = agreement_.committed()->version;
   traced.is_leader = agreement_.is_leader();
   traced.steps = steps_.tell(now);
   traced.registries = agreement_.known_addresses();
--- a/src/programs/core_ring.cpp
+++ b/src/programs/core_ring.cpp
@@ -82,7 +82,7 @@
 std::string Core::show_ring(bool has_proposals, Moment now) {
   const RingReport report = ring_watch_.report(ring_, ring_loads_.sums(ring_.owners.size(), now), account_loads_.sums(now));
   Json::Value root(Json::objectValue);
-  root["edition"] = Json::Int64(ring_.edition.value);
+  root["edition"] = Json::Int64(ring_.version.value);
   root["mark"] = Json::UInt64(ring_sheet_.mark);
   root["balanced"] = report.is_balanced();
   root["enough"] = report.is_enough;
@@ -160,7 +160,7 @@
   if (call.verb == "apply") {
     RingMap ring;
     if (Fault found = check_ring(call.text, ring)) return refuse(found.step);
-    if (ring.edition <= ring_.edition) return refuse("edition: " + std::to_string(ring_.edition.value) + " is in force, a higher one is needed");
+    if (ring.version <= ring_.version) return refuse("edition: " + std::to_string(ring_.version.value) + " is in force, a higher one is needed");
     if (std::any_of(ring_moves_.moves().begin(), ring_moves_.moves().end(), [](const RingMove& move) { return move.is_open(); }))
       return refuse("a move is under way");
     for (const auto& [account, node] : ring_sheet_.placed)
@@ -169,7 +169,7 @@
     next.mark = ring_sheet_.mark + 1;
     next.file = call.text;
     agreement_.propose_sheet(ring_sheet, encode_ring(next), ring_token, now);
-    return {true, {}, {}, "{\"edition\":" + std::to_string(ring.edition.value) + "}"};
+    return {true, {}, {}, "{\"edition\":" + std::to_string(ring.version.value) + "}"};
   }
   if (!ring_sheet_.mark) return refuse("no ring is in force");
   if (call.verb == "report" || call.verb == "propose") return {true, {}, {}, show_ring(call.verb == "propose", now)};
@@ -221,7 +221,7 @@
 }
 
 void Core::tend_ring(Moment now) {
-  const EntryCapture& committed = agreement_.committed();
+  const EntrySnapshot& committed = agreement_.committed();
   if (committed && committed != ring_seen_) {
     ring_seen_ = committed;
     const auto sheet = committed->sheets.find(ring_sheet);
--- a/src/programs/desk.cpp
+++ b/src/programs/desk.cpp
@@ -87,12 +87,12 @@
   const std::string type = request.get("Content-Type", "application/json");
   if (!is_same_name(type.substr(0, type.find_first_of("; ")), "application/json"))
     return visit.answer(json_reply(Kind::wrong_content, "a configuration is application/json"), now);
-  ConfigurationCapture capture;
-  if (Fault found = read_configuration(visit.body(), capture)) {
+  ConfigurationSnapshot snapshot;
+  if (Fault found = read_configuration(visit.body(), snapshot)) {
     LOG(WARNING) << "steering: configuration refused: " << found.step;
     return visit.answer(json_reply(Kind::invalid, found.step), now);
   }
-  refer(visit, {0, false, capture->edition, std::move(visit.body())}, now);
+  refer(visit, {0, false, snapshot->version, std::move(visit.body())}, now);
 }
 
 std::uint64_t Desk::open_call(Visit& visit, bool is_read, Moment now) {
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -18,7 +18,7 @@
 
 }  // namespace
 
-Follower::Follower(const Startup& startup, LifeId life, std::function<void(ViewCapture)> show, std::function<void(AidEvent)> tell)
+Follower::Follower(const Startup& startup, LifeId life, std::function<void(ViewSnapshot)> show, std::function<void(AidEvent)> tell)
     : startup_(startup), life_(life), address_(Address{startup.ip_address, startup.own_port}.text()), show_(std::move(show)),
       tell_(std::move(tell)), contacts_(4, [this] { waker_.wake(); }), outs_(1024, [this] { waker_.wake(); }), turnover_(startup.rollout_wait * 2), born_(Clock::now()), steps_(most_steps) {
   contacts_.push(startup.contacts);
@@ -134,7 +134,7 @@
 }
 
 void Follower::take_beat(Source& source, Beat& beat, Moment now) {
-  source.edition = beat.edition;
+  source.version = beat.version;
   source.is_leader = beat.is_leader;
   source.locality = beat.locality;
   source.region = beat.region;
@@ -161,7 +161,7 @@
       has_news_ = true;
     }
   }
-  if (beat.edition > turnover_.held()) fetch(now);
+  if (beat.version > turnover_.held()) fetch(now);
   turn(now);
 }
 
@@ -185,20 +185,20 @@
   });
 }
 
-// Asks a registry that holds the newest edition for its body: the feed, if it has it soon, else the one heard last.
+// Asks a registry that holds the newest version for its body: the feed, if it has it soon, else the one heard last.
 void Follower::fetch(Moment now) {
   Source* best = nullptr;
   bool has_feed = false;
-  const Edition held = turnover_.held();
+  const Version held = turnover_.held();
   for (auto& [address, source] : sources_) {
     has_feed = has_feed || (source.is_feed && is_ready_);
-    if (source.edition <= held) continue;
-    const auto rank = [](const Source& one) { return std::tuple(one.edition, one.is_feed, one.heard); };
+    if (source.version <= held) continue;
+    const auto rank = [](const Source& one) { return std::tuple(one.version, one.is_feed, one.heard); };
     if (!best || rank(source) > rank(*best)) best = &source;
   }
   if (!best || now < fetch_due_) return;
-  if (fetched_ != best->edition) {
-    fetched_ = best->edition;
+  if (fetched_ != best->version) {
+    fetched_ = best->version;
     fetch_pause_ = fetch_again;
     if (has_feed && !best->is_feed) {
       fetch_due_ = now + feed_grace;
@@ -211,21 +211,21 @@
 }
 
 void Follower::take_body(Body body, Moment now) {
-  if (body.edition <= turnover_.held()) return;  // never back within a life
-  ConfigurationCapture capture;
+  if (body.version <= turnover_.held()) return;  // never back within a life
+  ConfigurationSnapshot snapshot;
   std::string text;
   if (!unpack(body.body, longest_body, text)) {
     LOG(ERROR) << "follow: configuration damaged on its way";
     return;
   }
-  if (Fault found = read_configuration(text, capture)) {
+  if (Fault found = read_configuration(text, snapshot)) {
     LOG(ERROR) << "follow: configuration unreadable: " << found.text();
     return;
   }
-  turnover_.take(std::move(capture), now);
+  turnover_.take(std::move(snapshot), now);
   fetch_due_ = {};
-  steps_.note(body.edition, "held", now);
-  LOG(INFO) << "follow: edition " << body.edition.value << " held";
+  steps_.note(body.version, "held", now);
+  LOG(INFO) << "follow: edition " << body.version.value << " held";
   turn(now);
   follow_due_ = now;
 }
@@ -233,7 +233,7 @@
 void Follower::turn(Moment now) {
   if (!turnover_.turn(is_ready_, now)) return;
   has_news_ = true;
-  steps_.note(turnover_.serving()->edition, "in force", now);
+  steps_.note(turnover_.serving()->version, "in force", now);
 }
 
 void Follower::take_roster(Source& source, const FrameHead& head, const Roster& roster, Moment now) {
@@ -251,14 +251,14 @@
 // Ready: a configuration and a roster that a registry with a quorum behind it confirmed in this life, or, when no
 // such registry answers in time, the newest that any registry reached holds committed.
 void Follower::check_ready(Moment now) {
-  const ConfigurationCapture& serving = turnover_.serving();
+  const ConfigurationSnapshot& serving = turnover_.serving();
   if (is_ready_ || !serving) return;
   for (const auto& [address, source] : sources_) {
-    const bool is_current = source.heard != Moment{} && source.has_roster && source.edition <= serving->edition;
-    const bool is_trusted = source.is_confirmed && source.is_filled && source.edition == serving->edition;
+    const bool is_current = source.heard != Moment{} && source.has_roster && source.version <= serving->version;
+    const bool is_trusted = source.is_confirmed && source.is_filled && source.version == serving->version;
     if (!is_current || (!is_trusted && now - born_ < startup_.unconfirmed_wait)) continue;
     is_ready_ = has_news_ = true;
-    LOG(INFO) << "follow: ready by edition " << serving->edition.value << (is_trusted ? "" : ", unconfirmed");
+    LOG(INFO) << "follow: ready by edition " << serving->version.value << (is_trusted ? "" : ", unconfirmed");
     return;
   }
 }
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -1,5 +1,5 @@
 #pragma once
-// The follow thread of a broker: keeps captures of the configuration and of the registry of backends.
+// The follow thread of a broker: keeps snapshots of the configuration and of the registry of backends.
 #include <atomic>
 #include <map>
 #include <memory>
@@ -23,14 +23,14 @@
 
 // What the traffic thread serves by. Immutable, swapped whole.
 struct View {
-  ConfigurationCapture configuration;
+  ConfigurationSnapshot configuration;
   std::vector<RosterEntry> backends;  // those that are ready or emptying
   bool is_ready = false;              // once true it stays so for this life
   std::uint64_t brokers = 1;
   std::vector<BrokerSeat> seats;      // ready brokers of other regions
   Reserve reserve;
 };
-using ViewCapture = std::shared_ptr<const View>;
+using ViewSnapshot = std::shared_ptr<const View>;
 
 // The leads a pooler may act by, and until when.
 struct HoldNews {
@@ -90,7 +90,7 @@
  public:
   static constexpr std::size_t seldom = 4;  // of how many turns one reaches registries that neither lead nor feed
 
-  Follower(const Startup& startup, LifeId life, std::function<void(ViewCapture)> show, std::function<void(AidEvent)> tell);
+  Follower(const Startup& startup, LifeId life, std::function<void(ViewSnapshot)> show, std::function<void(AidEvent)> tell);
   Fault open();
   void start();
   void stop();
@@ -122,7 +122,7 @@
   struct Source {  // one registry
     std::unique_ptr<Spoke> spoke;
     std::uint64_t life = 0, mark = 0;  // of its roster, as far as taken
-    Edition edition;                   // it holds committed
+    Version version;                   // it holds committed
     bool is_confirmed = false, is_filled = false, has_roster = false, is_leader = false;
     bool is_feed = false;              // asked for its roster
     std::string locality, region;
@@ -153,7 +153,7 @@
   const Startup startup_;
   const LifeId life_;
   const std::string address_;
-  std::function<void(ViewCapture)> show_;
+  std::function<void(ViewSnapshot)> show_;
   std::function<void(AidEvent)> tell_;
   LinkContext context_;
   Hub hub_;
@@ -169,7 +169,7 @@
   RosterBook book_;
   Turnover turnover_;
   Moment born_, follow_due_{}, fetch_due_{};
-  Edition fetched_;       // last asked for, or waited for at the feed
+  Version fetched_;       // last asked for, or waited for at the feed
   Span fetch_pause_{0};
   bool is_ready_ = false, has_news_ = false;
   std::uint64_t brokers_ = 1;
--- a/src/programs/following.cpp
+++ b/src/programs/following.cpp
@@ -16,7 +16,7 @@
 
 void Follower::follow_one(Source& source, bool wants_body) {
   Follow follow;
-  follow.edition = turnover_.held();
+  follow.version = turnover_.held();
   follow.roster_life = source.life;
   follow.roster_mark = source.mark;
   follow.wants_body = wants_body;
--- a/src/programs/lookout.cpp
+++ b/src/programs/lookout.cpp
@@ -52,7 +52,7 @@
   }
 }
 
-void Lookout::take_order(WatchOrderCapture order, Moment now) {
+void Lookout::take_order(WatchOrderSnapshot order, Moment now) {
   const bool was_observing = order_->is_observing;
   order_ = std::move(order);
   std::map<std::string, const WatchTarget*> wanted;
--- a/src/programs/lookout.h
+++ b/src/programs/lookout.h
@@ -17,7 +17,7 @@
   Lookout(const Startup& startup, Ring<CoreEvent>& events);
   void start();
   void stop();
-  void order(WatchOrderCapture order) { orders_.push(std::move(order)); }
+  void order(WatchOrderSnapshot order) { orders_.push(std::move(order)); }
 
   void on_outcome(Caller& caller, Moment now) override;
   void on_breakdown(Caller& caller, Kind kind, Moment now) override;
@@ -45,7 +45,7 @@
     void on_due(Moment now) override;
   };
   void run();
-  void take_order(WatchOrderCapture order, Moment now);
+  void take_order(WatchOrderSnapshot order, Moment now);
   void start_probe(Probe& probe, Moment now);
   void start_page(Moment now);
   void end_listing(Span pause, Moment now);
@@ -57,8 +57,8 @@
   Ring<CoreEvent>& events_;
   Poller poller_;
   Schedule schedule_;
-  Ring<WatchOrderCapture> orders_;
-  WatchOrderCapture order_;
+  Ring<WatchOrderSnapshot> orders_;
+  WatchOrderSnapshot order_;
   std::map<std::string, Probe> probes_;
   std::unordered_map<const Caller*, Probe*> by_caller_;  // invariant: every caller of a probe, until it is buried
   Listing listing_;
--- a/src/programs/pooler_program.cpp
+++ b/src/programs/pooler_program.cpp
@@ -19,7 +19,7 @@
   std::random_device device;
   const LifeId life{(static_cast<std::uint64_t>(device()) << 32) | device() | 1u};
   Pooling pooling(startup);
-  Follower follower(startup, life, [&pooling](ViewCapture view) { pooling.show(std::move(view)); }, [](AidEvent) {});
+  Follower follower(startup, life, [&pooling](ViewSnapshot view) { pooling.show(std::move(view)); }, [](AidEvent) {});
   follower.set_pooler([&pooling](HoldNews news) { pooling.hold(std::move(news)); }, [&pooling](SampleNews news) { pooling.sample(std::move(news)); });
   pooling.set_follower(follower);
   for (const Fault& found : {follower.open(), pooling.open()})
--- a/src/programs/pooling.cpp
+++ b/src/programs/pooling.cpp
@@ -136,7 +136,7 @@
   schedule_.set(tick_, now + (pool_.is_restless() || !waiting_.empty() || !draining_.empty() ? busy_tick : calm_tick));
 }
 
-void Pooling::take_view(ViewCapture view, Moment now) {
+void Pooling::take_view(ViewSnapshot view, Moment now) {
   const bool is_first = !view_->configuration;
   view_ = std::move(view);
   std::map<std::string, BackendPointer> kept;
@@ -158,8 +158,8 @@
   backends_ = std::move(kept);
   by_service_.clear();
   for (const auto& [id, backend] : backends_) by_service_[backend->service].push_back(backend);
-  if (view_->configuration) metrics().set(Metric::edition, view_->configuration->edition.value);
-  if (is_first && view_->configuration) LOG(INFO) << "pooling: edition " << view_->configuration->edition.value << " is the first";
+  if (view_->configuration) metrics().set(Metric::version, view_->configuration->version.value);
+  if (is_first && view_->configuration) LOG(INFO) << "pooling: edition " << view_->configuration->version.value << " is the first";
   wake_waiting(now);
 }
 
--- a/src/programs/pooling.h
+++ b/src/programs/pooling.h
@@ -21,7 +21,7 @@
   Fault open();
   void start() { thread_ = std::thread([this] { run(); }); }
   void set_follower(Follower& follower) { follower_ = &follower; }
-  void show(ViewCapture view) { views_.push(std::move(view)); }
+  void show(ViewSnapshot view) { views_.push(std::move(view)); }
   void hold(HoldNews news) { holds_.push(std::move(news)); }
   void sample(SampleNews news) { samples_in_.push(std::move(news)); }
   void leave() {
@@ -32,7 +32,7 @@
     if (thread_.joinable()) thread_.join();
   }
 
-  const ConfigurationCapture& configuration() const override { return view_->configuration; }
+  const ConfigurationSnapshot& configuration() const override { return view_->configuration; }
   DatabaseChoice choose(const Session& session, const std::string& service, const Rule& rule, bool must_lead, Moment began, Moment now) override;
   bool holds_lead(const Backend& backend, Moment now) const override;
   bool may_wait(Session& session) override;
@@ -90,7 +90,7 @@
 
   void run();
   void tick(Moment now);
-  void take_view(ViewCapture view, Moment now);
+  void take_view(ViewSnapshot view, Moment now);
   void take_hold(HoldNews news, Moment now);
   void end_draining(Moment now);
   void wake_waiting(Moment now);
@@ -109,10 +109,10 @@
   Door door_;
   Tick tick_;
   Follower* follower_ = nullptr;
-  Ring<ViewCapture> views_;
+  Ring<ViewSnapshot> views_;
   Ring<HoldNews> holds_;
   Ring<SampleNews> samples_in_;
-  ViewCapture view_ = std::make_shared<View>();
+  ViewSnapshot view_ = std::make_shared<View>();
   std::map<std::string, BackendPointer> backends_;                       // by id
   std::unordered_map<std::string, std::vector<BackendPointer>> by_service_;
   std::unordered_map<std::string, Moment> emptying_;                     // since when, by id
--- a/src/programs/programs.h
+++ b/src/programs/programs.h
@@ -13,7 +13,7 @@
 int run_broker(const std::string& startup_path);
 int run_registry(const std::string& startup_path);
 // Contacts are inner addresses.
-int run_tracer(std::int64_t edition, const std::vector<std::string>& contacts, bool is_json, int wait_ms);
+int run_tracer(std::int64_t version, const std::vector<std::string>& contacts, bool is_json, int wait_ms);
 int run_check(const std::string& path);
 
 }  // namespace saddlewing
--- a/src/programs/rings.h
+++ b/src/programs/rings.h
@@ -18,7 +18,7 @@
 struct OperatorCall {  // steering to agree
   std::uint64_t token = 0;
   bool is_read = false;
-  Edition edition;
+  Version version;
   std::string body;
 };
 
@@ -73,6 +73,6 @@
   bool is_observing = false;
   std::vector<WatchTarget> targets;
 };
-using WatchOrderCapture = std::shared_ptr<const WatchOrder>;
+using WatchOrderSnapshot = std::shared_ptr<const WatchOrder>;
 
 }  // namespace saddlewing
--- a/src/programs/tracer_program.cpp
+++ b/src/programs/tracer_program.cpp
@@ -76,9 +76,9 @@
   Moment when{};
 };
 
-void print_json(Edition edition, const std::vector<Line>& lines, Moment first, const Inquiry& inquiry) {
+void print_json(Version version, const std::vector<Line>& lines, Moment first, const Inquiry& inquiry) {
   Json::Value root(Json::objectValue);
-  root["edition"] = static_cast<Json::Int64>(edition.value);
+  root["edition"] = static_cast<Json::Int64>(version.value);
   root["steps"] = Json::Value(Json::arrayValue);
   for (const Line& line : lines) {
     Json::Value step(Json::objectValue);
@@ -104,15 +104,15 @@
   std::cout << root.toStyledString();
 }
 
-void print_table(Edition edition, const std::vector<Line>& lines, Moment first, const Inquiry& inquiry) {
+void print_table(Version version, const std::vector<Line>& lines, Moment first, const Inquiry& inquiry) {
   std::size_t width = 4;
   for (const auto& [address, found] : inquiry.found()) width = std::max(width, found.traced.node.size());
-  std::printf("edition %lld\n%8s  %-*s  %-8s  %s\n", static_cast<long long>(edition.value), "ms", static_cast<int>(width), "node", "role", "step");
+  std::printf("edition %lld\n%8s  %-*s  %-8s  %s\n", static_cast<long long>(version.value), "ms", static_cast<int>(width), "node", "role", "step");
   for (const Line& line : lines)
     std::printf("%8lld  %-*s  %-8s  %s\n", static_cast<long long>(span_between(first, line.when).count()), static_cast<int>(width),
                 line.node.c_str(), line.role.c_str(), line.what.c_str());
   for (const auto& [address, found] : inquiry.found())
-    if (found.traced.held < edition)
+    if (found.traced.held < version)
       std::printf("lags: %s (%s) holds edition %lld\n", found.traced.node.c_str(), address.c_str(), static_cast<long long>(found.traced.held.value));
   for (const std::string& address : inquiry.silent()) std::printf("silent: %s\n", address.c_str());
 }
@@ -120,7 +120,7 @@
 }  // namespace
 
 int run_tracer(std::int64_t number, const std::vector<std::string>& contacts, bool is_json, int wait_ms) {
-  const Edition edition{number};
+  const Version version{number};
   Inquiry inquiry(contacts, Span(wait_ms));
   inquiry.run();
   if (inquiry.found().empty()) {
@@ -128,24 +128,24 @@
     return 1;
   }
   std::vector<Line> lines;
-  Edition newest;
+  Version newest;
   for (const auto& [address, found] : inquiry.found()) {
     newest = std::max(newest, found.traced.held);
     // Clocks differ between nodes, so steps come with their age; what the answer took on its way blurs them.
     for (const Step& step : found.traced.steps)
-      if (step.edition == edition)
+      if (step.version == version)
         lines.push_back({found.traced.node, found.traced.role, address, step.what, found.heard - Span(static_cast<std::int64_t>(step.age))});
   }
   if (lines.empty()) {
     std::cerr << "tracer: edition " << number
-              << (edition > newest ? " is unknown: the newest held anywhere is " : " is not in any node's steps any more, or never was: the newest held is ")
+              << (version > newest ? " is unknown: the newest held anywhere is " : " is not in any node's steps any more, or never was: the newest held is ")
               << newest.value << "\n";
     return 1;
   }
   std::sort(lines.begin(), lines.end(), [](const Line& left, const Line& right) { return left.when < right.when; });
   const Moment first = lines.front().when;
-  if (is_json) print_json(edition, lines, first, inquiry);
-  else print_table(edition, lines, first, inquiry);
+  if (is_json) print_json(version, lines, first, inquiry);
+  else print_table(version, lines, first, inquiry);
   return 0;
 }
 
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -123,7 +123,7 @@
   server_.reap();
 }
 
-void Traffic::take_view(ViewCapture view, Moment now) {
+void Traffic::take_view(ViewSnapshot view, Moment now) {
   view_ = std::move(view);
   std::map<std::string, BackendPointer> kept;
   for (const RosterEntry& entry : view_->backends) {
@@ -144,7 +144,7 @@
   for (const auto& [id, backend] : backends_)
     if (!backend->is_cancelled) by_name_[backend->service].push_back(backend);
   if (!view_->configuration) return;
-  metrics().set(Metric::edition, view_->configuration->edition.value);
+  metrics().set(Metric::version, view_->configuration->version.value);
   auto table = std::make_shared<Table>();
   table->configuration = view_->configuration;
   std::unordered_map<std::string, std::size_t> indices;
@@ -237,7 +237,7 @@
 }
 
 std::string Traffic::head_for(const Trip& trip, const Backend& backend, Moment now) const {
-  const auto left = std::max<std::int64_t>(1, span_between(now, trip.asker->cutoff()).count());
+  const auto left = std::max<std::int64_t>(1, span_between(now, trip.asker->deadline()).count());
   std::string head = trip.head_start + field::time_left + ": " + std::to_string(left) + "\r\n" + field::meant_server + ": " + backend.id + "\r\n";
   if (trip.ring) head += ring_fields(*trip.ring, backend.service);
   return head + "\r\n";
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -80,7 +80,7 @@
   Traffic(const Startup& startup, LifeId life);
   Fault open();
   void start();
-  void show(ViewCapture view) { views_.push(std::move(view)); }
+  void show(ViewSnapshot view) { views_.push(std::move(view)); }
   void tell(AidEvent event) { aid_events_.push(std::move(event)); }
   void take_aid_event(AidEvent& event, Moment now);  // the traffic thread alone
   // Rules from now on; a wrong file is logged and the rules before it stay.
@@ -126,7 +126,7 @@
     const Traffic& traffic_;
   };
   void run();
-  void take_view(ViewCapture view, Moment now);
+  void take_view(ViewSnapshot view, Moment now);
   void take_aid(AidIn& in, Moment now);
   // A request that may run once and has to wait for a move of its key; in the end it is told to come back.
   struct Parked final : Scheduled {
@@ -182,9 +182,9 @@
   Server server_;
   Readiness readiness_;
   Server ready_server_;
-  Ring<ViewCapture> views_;
-  ViewCapture view_ = std::make_shared<View>();  // invariant: never null; other brokers may ask before the first one
-  TableCapture table_;
+  Ring<ViewSnapshot> views_;
+  ViewSnapshot view_ = std::make_shared<View>();  // invariant: never null; other brokers may ask before the first one
+  TableSnapshot table_;
   std::map<std::string, BackendPointer> backends_;  // by id
   std::unordered_map<std::string, Budget> budgets_;  // by service
   std::unordered_map<std::string, Pace> paces_;      // by rule
--- a/src/programs/turns.cpp
+++ b/src/programs/turns.cpp
@@ -30,7 +30,7 @@
 bool Traffic::wait_turn(Errand& errand, Moment now) {
   if (!classes_.is_on()) return false;
   const auto trip = trips_.find(&errand);
-  if (trip == trips_.end() || !turns_.push(&errand, errand.rule().rank, trip->second->is_heavy, errand.cutoff())) return false;
+  if (trip == trips_.end() || !turns_.push(&errand, errand.rule().rank, trip->second->is_heavy, errand.deadline())) return false;
   const Asker* displaced = nullptr;
   while (turns_.pop_last(displaced))
     if (const auto other = trips_.find(displaced); other != trips_.end() && other->second->errand) {
--- a/src/programs/wire.cpp
+++ b/src/programs/wire.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t most_head = 32768;
 constexpr Span connect_wait{250};
-constexpr Span past_cutoff{100};       // how long an asking is still waited for after its errand's cutoff
+constexpr Span past_deadline{100};       // how long an asking is still waited for after its errand's deadline
 constexpr Span longest_idle{20000};
 constexpr Span borrowed_idle{300};     // of a connection that others need as well
 constexpr std::size_t turns_at_once = 4;  // when a slot came free
@@ -86,7 +86,7 @@
     trip->asker->take_breakdown(part, Kind::silent, false, now);
     return traffic_.arrange(*trip);
   }
-  const Moment last = trip_->asker->cutoff() + past_cutoff;
+  const Moment last = trip_->asker->deadline() + past_deadline;
   if (now < last) {
     if (now - asked_ >= stalled_least) backend_->breaker.fail(now, false);
     traffic_.schedule_.set(*this, now - asked_ >= stalled_least ? last : std::min(last, asked_ + stalled_least));
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -29,7 +29,7 @@
   return true;
 }
 
-Edition read_edition(ByteReader& reader) { return Edition{static_cast<std::int64_t>(reader.number())}; }
+Version read_version(ByteReader& reader) { return Version{static_cast<std::int64_t>(reader.number())}; }
 
 }  // namespace
 
@@ -44,19 +44,19 @@
   return "UNKNOWN";
 }
 
-std::string encode(const FrameHead& head, const Ballot& value) {
-  Writer writer = open_frame(head, FrameKind::ballot);
+std::string encode(const FrameHead& head, const RaftMessage& value) {
+  Writer writer = open_frame(head, FrameKind::raft);
   writer.number(static_cast<std::uint64_t>(value.type)).number(value.from.value).text(value.address).number(value.term.value);
   writer.number(value.entry_term.value).number(value.entry_index.value).number(value.commit.value).number(value.round);
-  writer.number(value.is_granted).number(value.is_handed_over).number(value.is_stranger).text(value.leader);
+  writer.number(value.is_granted).number(value.is_transfer).number(value.is_removed).text(value.leader);
   write_members(writer, value.members);
   writer.number(value.entry != nullptr);
   if (value.entry) write_entry(writer, *value.entry);
   return writer.take();
 }
 
-bool decode(ByteReader& reader, Ballot& value) {
-  if (!read_enum(reader, value.type, Ballot::Type::joined)) return false;
+bool decode(ByteReader& reader, RaftMessage& value) {
+  if (!read_enum(reader, value.type, RaftMessage::Type::joined)) return false;
   value.from.value = reader.number();
   value.address = reader.text();
   value.term.value = reader.number();
@@ -65,8 +65,8 @@
   value.commit.value = reader.number();
   value.round = reader.number();
   value.is_granted = reader.number();
-  value.is_handed_over = reader.number();
-  value.is_stranger = reader.number();
+  value.is_transfer = reader.number();
+  value.is_removed = reader.number();
   value.leader = reader.text();
   read_members(reader, value.members);
   if (reader.number()) {
@@ -79,14 +79,14 @@
 
 std::string encode(const FrameHead& head, const Forward& value) {
   Writer writer = open_frame(head, FrameKind::forward);
-  writer.number(value.token).number(value.is_read).number(value.edition.value).text(value.body);
+  writer.number(value.token).number(value.is_read).number(value.version.value).text(value.body);
   return writer.take();
 }
 
 bool decode(ByteReader& reader, Forward& value) {
   value.token = reader.number();
   value.is_read = reader.number();
-  value.edition = read_edition(reader);
+  value.version = read_version(reader);
   value.body = reader.text();
   return reader.is_whole();
 }
@@ -106,7 +106,7 @@
 
 std::string encode(const FrameHead& head, const Follow& value) {
   Writer writer = open_frame(head, FrameKind::follow);
-  writer.number(value.edition.value).number(value.roster_life).number(value.roster_mark).number(value.wants_body).number(value.wants_roster);
+  writer.number(value.version.value).number(value.roster_life).number(value.roster_mark).number(value.wants_body).number(value.wants_roster);
   writer.text(value.region).number(value.is_ready).number(value.seats_mark);
   writer.number(value.token).number(value.leads_mark).text(value.locality).text(value.failing).text(value.fine).text(value.samples);
   writer.number(value.samples_age).number(value.ring_mark).number(value.ring_held).text(value.ring_loads).text(value.account_loads).number(value.lookups).number(value.late_lookups);
@@ -115,7 +115,7 @@
 }
 
 bool decode(ByteReader& reader, Follow& value) {
-  value.edition = read_edition(reader);
+  value.version = read_version(reader);
   value.roster_life = reader.number();
   value.roster_mark = reader.number();
   value.wants_body = reader.number();
@@ -145,7 +145,7 @@
 
 std::string encode(const FrameHead& head, const Beat& value) {
   Writer writer = open_frame(head, FrameKind::beat);
-  writer.number(value.edition.value).number(value.in_force.value).number(value.is_confirmed).number(value.is_filled).number(value.is_leader);
+  writer.number(value.version.value).number(value.in_force.value).number(value.is_confirmed).number(value.is_filled).number(value.is_leader);
   writer.text(value.locality).text(value.region).number(value.brokers);
   writer.number(value.grant).number(value.grant_valid);
   write_texts(writer, value.registries);
@@ -157,8 +157,8 @@
 }
 
 bool decode(ByteReader& reader, Beat& value) {
-  value.edition = read_edition(reader);
-  value.in_force = read_edition(reader);
+  value.version = read_version(reader);
+  value.in_force = read_version(reader);
   value.is_confirmed = reader.number();
   value.is_filled = reader.number();
   value.is_leader = reader.number();
@@ -189,12 +189,12 @@
 
 std::string encode(const FrameHead& head, const Body& value) {
   Writer writer = open_frame(head, FrameKind::body);
-  writer.number(value.edition.value).text(value.body);
+  writer.number(value.version.value).text(value.body);
   return writer.take();
 }
 
 bool decode(ByteReader& reader, Body& value) {
-  value.edition = read_edition(reader);
+  value.version = read_version(reader);
   value.body = reader.text();
   return reader.is_whole();
 }
@@ -242,7 +242,7 @@
 std::string encode(const FrameHead& head, const Traced& value) {
   Writer writer = open_frame(head, FrameKind::traced);
   writer.text(value.node).text(value.role).number(value.held.value).number(value.is_leader).number(value.steps.size());
-  for (const Step& step : value.steps) writer.number(step.edition.value).text(step.what).number(step.age);
+  for (const Step& step : value.steps) writer.number(step.version.value).text(step.what).number(step.age);
   write_texts(writer, value.registries);
   write_texts(writer, value.brokers);
   return writer.take();
@@ -251,11 +251,11 @@
 bool decode(ByteReader& reader, Traced& value) {
   value.node = reader.text();
   value.role = reader.text();
-  value.held = read_edition(reader);
+  value.held = read_version(reader);
   value.is_leader = reader.number();
   value.steps.resize(reader.count(24));
   for (Step& step : value.steps) {
-    step.edition = read_edition(reader);
+    step.version = read_version(reader);
     step.what = reader.text();
     step.age = reader.number();
   }
@@ -389,7 +389,7 @@
 bool decode_head(ByteReader& reader, FrameHead& head) {
   if (reader.number() != protocol_number) return false;
   const std::uint64_t kind = reader.number();
-  if (kind < static_cast<std::uint64_t>(FrameKind::ballot) || kind > static_cast<std::uint64_t>(FrameKind::edge_view)) return false;
+  if (kind < static_cast<std::uint64_t>(FrameKind::raft) || kind > static_cast<std::uint64_t>(FrameKind::edge_view)) return false;
   head.kind = static_cast<FrameKind>(kind);
   head.life.value = reader.number();
   head.from = reader.text();
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -14,7 +14,7 @@
 namespace saddlewing {
 
 enum class FrameKind : std::uint64_t {
-  ballot = 1,   // agreement between registries
+  raft = 1,     // agreement between registries
   forward,      // an operator's call handed to the leader
   forwarded,    // its outcome
   follow,       // a broker says what it holds
@@ -38,8 +38,8 @@
   std::string from;  // inner address of the sender; empty for a tool
 };
 
-struct Ballot {
-  enum class Type : std::uint64_t { pre_vote, pre_voted, vote, voted, append, appended, hand_over, join, joined };
+struct RaftMessage {
+  enum class Type : std::uint64_t { pre_vote, pre_voted, vote, voted, append, appended, transfer, join, joined };
   Type type{};
   MemberId from;
   std::string address;
@@ -49,9 +49,9 @@
   Index commit;
   std::uint64_t round = 0;
   bool is_granted = false;
-  bool is_handed_over = false;  // the vote follows a hand-over: a live leader is no objection
-  bool is_stranger = false;     // the receiver is no member any more
-  EntryCapture entry;           // with append, when the follower lacks it
+  bool is_transfer = false;  // the vote follows a hand-over: a live leader is no objection
+  bool is_removed = false;     // the receiver is no member any more
+  EntrySnapshot entry;           // with append, when the follower lacks it
   std::vector<Member> members;  // with joined
   std::string leader;           // with joined: its inner address
 };
@@ -59,7 +59,7 @@
 struct Forward {
   std::uint64_t token = 0;
   bool is_read = false;
-  Edition edition;
+  Version version;
   std::string body;
 };
 
@@ -70,7 +70,7 @@
 };
 
 struct Follow {
-  Edition edition;
+  Version version;
   std::uint64_t roster_life = 0, roster_mark = 0;  // what the broker holds of this registry's roster
   bool wants_body = false;
   bool wants_roster = false;     // this registry feeds it: roster and seats come from here
@@ -103,8 +103,8 @@
 };
 
 struct Beat {
-  Edition edition;
-  Edition in_force;           // every broker heard of late holds it, or the wait for that is over
+  Version version;
+  Version in_force;           // every broker heard of late holds it, or the wait for that is over
   bool is_confirmed = false;  // a quorum stands behind it
   bool is_filled = false;     // its roster was refilled since it started
   bool is_leader = false;
@@ -150,7 +150,7 @@
 };
 
 struct Body {
-  Edition edition;
+  Version version;
   std::string body;  // packed
 };
 
@@ -190,16 +190,16 @@
   std::vector<RosterEntry> entries;
 };
 
-// One step in the life of an edition at a node.
+// One step in the life of an version at a node.
 struct Step {
-  Edition edition;
+  Version version;
   std::string what;        // taken, committed, sent, held, in force
   std::uint64_t age = 0;   // milliseconds before the reply
 };
 
 struct Traced {
   std::string node, role;
-  Edition held;
+  Version held;
   bool is_leader = false;
   std::vector<Step> steps;
   std::vector<std::string> registries, brokers;  // inner addresses it knows
@@ -228,7 +228,7 @@
   std::string records;
 };
 
-std::string encode(const FrameHead& head, const Ballot& value);
+std::string encode(const FrameHead& head, const RaftMessage& value);
 std::string encode(const FrameHead& head, const Forward& value);
 std::string encode(const FrameHead& head, const Forwarded& value);
 std::string encode(const FrameHead& head, const Follow& value);
@@ -247,7 +247,7 @@
 
 // The head alone; false for a foreign or damaged frame.
 bool decode_head(ByteReader& reader, FrameHead& head);
-bool decode(ByteReader& reader, Ballot& value);
+bool decode(ByteReader& reader, RaftMessage& value);
 bool decode(ByteReader& reader, Forward& value);
 bool decode(ByteReader& reader, Forwarded& value);
 bool decode(ByteReader& reader, Follow& value);
--- a/src/state/bytes.h
+++ b/src/state/bytes.h
@@ -76,7 +76,7 @@
 }
 
 inline void write_entry(Writer& writer, const Entry& entry) {
-  writer.number(entry.term.value).number(entry.index.value).number(entry.edition.value).text(entry.body);
+  writer.number(entry.term.value).number(entry.index.value).number(entry.version.value).text(entry.body);
   writer.number(entry.core_size);
   write_members(writer, entry.members);
   if (entry.sheets.empty()) return;  // as records of earlier versions end
@@ -87,7 +87,7 @@
 inline void read_entry(ByteReader& reader, Entry& entry) {
   entry.term.value = reader.number();
   entry.index.value = reader.number();
-  entry.edition.value = static_cast<std::int64_t>(reader.number());
+  entry.version.value = static_cast<std::int64_t>(reader.number());
   entry.body = reader.text();
   entry.core_size = static_cast<std::uint32_t>(reader.number());
   read_members(reader, entry.members);
--- a/src/state/configuration.cpp
+++ b/src/state/configuration.cpp
@@ -148,14 +148,14 @@
   return nullptr;
 }
 
-Fault read_configuration(const std::string& body, ConfigurationCapture& capture) {
+Fault read_configuration(const std::string& body, ConfigurationSnapshot& snapshot) {
   Json::Value root;
   std::string reason, first;
   if (!read_json(body, root, reason)) return fault(Kind::invalid, "configuration is not proper JSON");
   if (!root.isObject()) return fault(Kind::invalid, "configuration is not an object");
   auto read = std::make_shared<Configuration>();
   const Fields top{root, "", first};
-  read->edition.value = top.whole("version", 1, INT64_MAX, 0, true);
+  read->version.value = top.whole("version", 1, INT64_MAX, 0, true);
   if (!root["services"].isArray()) top.fail("services is not a list");
   if (!root["routes"].isArray()) top.fail("routes is not a list");
   if (!first.empty()) return fault(Kind::invalid, first);
@@ -202,7 +202,7 @@
       return rules[left].path_start.size() > rules[right].path_start.size();
     });
   read->body = body;
-  capture = std::move(read);
+  snapshot = std::move(read);
   return {};
 }
 
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -1,5 +1,5 @@
 #pragma once
-// The operator's configuration: an immutable capture, swapped whole.
+// The operator's configuration: an immutable snapshot, swapped whole.
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -49,7 +49,7 @@
 
 // Invariant: rules of a host are ordered by falling length of their prefix; every index is within `services`.
 struct Configuration {
-  Edition edition;
+  Version version;
   std::vector<Service> services;
   std::vector<Rule> rules;
   std::unordered_map<std::string, std::vector<std::uint32_t>> by_host;
@@ -60,9 +60,9 @@
   const Rule* match_database(const std::string& name) const;
   const Rule* match(std::string_view host, std::string_view path) const;
 };
-using ConfigurationCapture = std::shared_ptr<const Configuration>;
+using ConfigurationSnapshot = std::shared_ptr<const Configuration>;
 
 // Checks the whole document. The fault's step names the field and what is wrong with it.
-Fault read_configuration(const std::string& body, ConfigurationCapture& capture);
+Fault read_configuration(const std::string& body, ConfigurationSnapshot& snapshot);
 
 }  // namespace saddlewing
--- a/src/state/error.cpp
+++ b/src/state/error.cpp
@@ -32,7 +32,7 @@
     {Kind::silent, "backend silent", 504, "Gateway Timeout"},
     {Kind::broke_off, "backend broke off", 502, "Bad Gateway"},
     {Kind::garbled, "backend sent no proper answer", 502, "Bad Gateway"},
-    {Kind::cutoff_reached, "cutoff reached", 504, "Gateway Timeout"},
+    {Kind::deadline_reached, "cutoff reached", 504, "Gateway Timeout"},
     {Kind::invalid, "invalid", 400, "Bad Request"},
     {Kind::unreadable, "cannot be read", 400, "Bad Request"},
     {Kind::disk, "disk failed", 503, "Service Unavailable"},
--- a/src/state/error.h
+++ b/src/state/error.h
@@ -14,7 +14,7 @@
   // what this system could not do, with nothing run
   not_ready, overloaded, nobody_up, no_leader, draining,
   // what a backend did, possibly after running
-  turned_away, refused_connection, silent, broke_off, garbled, cutoff_reached,
+  turned_away, refused_connection, silent, broke_off, garbled, deadline_reached,
   // configuration and startup
   invalid, unreadable,
   // disk and links
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -32,7 +32,7 @@
     {Metric::calls_taken, "saddlewing_operator_calls_total", "Operators' calls.", true},
     {Metric::calls_failed, "saddlewing_operator_calls_failed_total", "Operators' calls answered 503.", true},
     {Metric::edges_mark, "saddlewing_edges_view", "Changes of the view of edges in this leader's term, as in force here.", false},
-    {Metric::edition, "saddlewing_edition", "Edition in force here.", false},
+    {Metric::version, "saddlewing_edition", "Edition in force here.", false},
 };
 
 }  // namespace
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -15,7 +15,7 @@
   // registry
   ring_over, ring_moves, edges_avoided, edge_frames_dropped, brokers, backends_up, evictions, saves_failed, leads, calls_taken, calls_failed,
   // both
-  edition, edges_mark,
+  version, edges_mark,
   count
 };
 
--- a/src/state/ring.cpp
+++ b/src/state/ring.cpp
@@ -58,7 +58,7 @@
   std::string first;
   if (!root.IsMap()) return fault(Kind::invalid, "the ring file is not a map");
   const YamlFields top{root, "", first};
-  read.edition.value = static_cast<std::int64_t>(top.number("edition", 1, 9e15, 0, true));
+  read.version.value = static_cast<std::int64_t>(top.number("edition", 1, 9e15, 0, true));
   read.rule = top.text("rule");
   read.key_part = static_cast<std::size_t>(top.number("key_part", 0, 32, 0, false));
   const auto count = static_cast<std::size_t>(top.number("virtual_nodes", 1, static_cast<double>(most_virtual), 128, false));
--- a/src/state/ring.h
+++ b/src/state/ring.h
@@ -41,7 +41,7 @@
 
 // Invariant: `owners` has an entry for every virtual node, an index into `nodes`; `points` rise.
 struct RingMap {
-  Edition edition;
+  Version version;
   std::string rule;               // by name
   std::size_t key_part = 0;       // which part of the path behind path_start
   std::vector<RingNode> nodes;
--- a/src/state/startup.h
+++ b/src/state/startup.h
@@ -47,7 +47,7 @@
   double renewal_threshold = 0.85;
   bool is_preserving = true;            // eviction pauses under the threshold
   Span listing{500}, follow{400};       // platform list; broker's beat to the registries
-  Span rollout_wait{400};               // a new edition waits this long for brokers that do not hold it yet
+  Span rollout_wait{400};               // a new version waits this long for brokers that do not hold it yet
   std::string alert_rules;              // path of a file; empty: none
   Span lead_hold{3000};                 // how long a pooler may use the leads it was told of
   double heavy_times = 0;               // so many times the lightest route's work makes a route heavy; 0: bulkheads are off
--- a/src/state/store.h
+++ b/src/state/store.h
@@ -22,20 +22,20 @@
 struct Entry {
   Term term;
   Index index;
-  Edition edition;
+  Version version;
   std::string body;
   std::vector<Member> members;
   std::uint32_t core_size = 0;  // how many voters the core wants
   std::map<std::string, std::string> sheets;  // further agreed tables by name: leads of databases, the ring
 };
-using EntryCapture = std::shared_ptr<const Entry>;
+using EntrySnapshot = std::shared_ptr<const Entry>;
 
 // Invariant: `self` never changes once written; `term` never falls; `vote` is of `term`.
 struct Durable {
   MemberId self;
   Term term;
   MemberId vote;
-  EntryCapture entry;
+  EntrySnapshot entry;
 };
 
 std::string encode_durable(const Durable& durable);
--- a/src/state/types.h
+++ b/src/state/types.h
@@ -16,7 +16,7 @@
   auto operator<=>(const Strong&) const = default;
 };
 
-using Edition = Strong<struct EditionTag, std::int64_t>;    // of a configuration; 0: none
+using Version = Strong<struct VersionTag, std::int64_t>;    // of a configuration; 0: none
 using Term = Strong<struct TermTag, std::uint64_t>;         // of the agreement
 using Index = Strong<struct IndexTag, std::uint64_t>;       // of an entry in the agreement
 using MemberId = Strong<struct MemberTag, std::uint64_t>;   // of a registry; 0: none
--- a/src/transport/schedule.h
+++ b/src/transport/schedule.h
@@ -1,5 +1,5 @@
 #pragma once
-// All cutoffs of a thread in one heap; nothing ticks while nothing is due.
+// All deadlines of a thread in one heap; nothing ticks while nothing is due.
 #include <boost/heap/d_ary_heap.hpp>
 
 #include "state/types.h"
--- a/tests/agreement_test.cpp
+++ b/tests/agreement_test.cpp
@@ -30,7 +30,7 @@
   for (const std::string& address : cluster.founders()) cr_expect(cluster.body_at(address) == "seven");
 }
 
-Test(agreement, an_older_edition_is_acknowledged_and_changes_nothing) {
+Test(agreement, an_older_version_is_acknowledged_and_changes_nothing) {
   Cluster cluster(3);
   cluster.run_until([&] { return cluster.has_leader(); });
   const std::string leader = cluster.leader();
@@ -91,7 +91,7 @@
   cluster.run_until([&] { return cluster.has_leader(); });
   const std::string wiped = other_than(cluster, cluster.leader());
   cluster.wipe(wiped);
-  cluster.should_drop = [](std::uint64_t, const Ballot& ballot) { return ballot.type == Ballot::Type::join; };
+  cluster.should_drop = [](std::uint64_t, const RaftMessage& message) { return message.type == RaftMessage::Type::join; };
   cluster.start(wiped);
   cr_expect(cluster.run_until([&] { return is_member(cluster, cluster.at(wiped).disk.self); }, 3000ms));
 }
@@ -167,7 +167,7 @@
   Cluster cluster(3);
   cluster.run_until([&] { return cluster.has_leader(); });
   const std::string leader = cluster.leader();
-  cluster.at(leader).agreement->hand_over(cluster.now());
+  cluster.at(leader).agreement->transfer(cluster.now());
   cluster.flush(cluster.at(leader));
   cr_expect(cluster.run_until([&] { return cluster.has_leader() && cluster.leader() != leader; }, 300ms));
 }
@@ -214,14 +214,14 @@
   cr_expect(cluster.at(cluster.leader()).agreement->term() == term, "and it stays");
 }
 
-// Every letter of a change is lost once, each in turn: the change still comes through, and everywhere the same.
+// Every outgoing of a change is lost once, each in turn: the change still comes through, and everywhere the same.
 Test(agreement, any_one_letter_may_be_lost) {
   for (std::uint64_t lost = 1; lost <= 40; ++lost) {
     Cluster cluster(3);
     cluster.run_until([&] { return cluster.has_leader(); });
     const std::string leader = cluster.leader();
     const std::uint64_t from = cluster.sent();
-    cluster.should_drop = [&](std::uint64_t number, const Ballot&) { return number == from + lost; };
+    cluster.should_drop = [&](std::uint64_t number, const RaftMessage&) { return number == from + lost; };
     cluster.propose(8, "eight");
     cr_assert(cluster.run_until([&] {
       for (const std::string& address : cluster.founders())
--- a/tests/bulkhead_test.cpp
+++ b/tests/bulkhead_test.cpp
@@ -93,7 +93,7 @@
   stage.own_wish.short_work = 5ms;
   stage.has_turns = true;
   stage.errand->start(start);
-  cr_expect(stage.asked.empty() && stage.turns_wanted == 1 && stage.errand->next_due() == stage.errand->cutoff(), "no polling meanwhile");
+  cr_expect(stage.asked.empty() && stage.turns_wanted == 1 && stage.errand->next_due() == stage.errand->deadline(), "no polling meanwhile");
   for (const auto& backend : stage.errand->table().by_service[0]) backend->asked = backend->heavy_asked = 0;
   stage.errand->on_turn(start + 20ms);
   cr_expect(stage.asked.size() == 1);
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -1,5 +1,5 @@
 #pragma once
-// A core of registries in one thread: letters and saves pass through here, under a clock of its own.
+// A core of registries in one thread: messages and saves pass through here, under a clock of its own.
 #include <algorithm>
 #include <deque>
 #include <functional>
@@ -26,7 +26,7 @@
   struct Flying {
     Moment due;
     std::string to;
-    Ballot ballot;
+    RaftMessage message;
   };
 
   explicit Cluster(std::size_t count) {
@@ -74,7 +74,7 @@
         if (place->due <= now_) arrived.push_back(std::move(*place)), place = flying_.erase(place);
         else ++place;
       for (const Flying& flying : arrived)
-        if (Node& node = nodes_[flying.to]; node.agreement) node.agreement->receive(flying.ballot, now_);
+        if (Node& node = nodes_[flying.to]; node.agreement) node.agreement->receive(flying.message, now_);
       for (auto& [address, node] : nodes_) {
         if (!node.agreement) continue;
         if (node.pending && !node.is_stuck) {
@@ -105,9 +105,9 @@
   }
   bool has_leader() { return !leader().empty() && at(leader()).agreement->is_confirmed(now_); }
   // The token of a proposal to the leader of the moment.
-  std::uint64_t propose(std::int64_t edition, const std::string& body) {
+  std::uint64_t propose(std::int64_t version, const std::string& body) {
     Node& node = at(leader());
-    node.agreement->propose(Edition{edition}, body, ++token_, now_);
+    node.agreement->propose(Version{version}, body, ++token_, now_);
     flush(node);
     return token_;
   }
@@ -119,7 +119,7 @@
     const Node& node = at(address);
     return node.agreement && node.agreement->committed() ? node.agreement->committed()->body : "";
   }
-  std::function<bool(std::uint64_t, const Ballot&)> should_drop = [](std::uint64_t, const Ballot&) { return false; };
+  std::function<bool(std::uint64_t, const RaftMessage&)> should_drop = [](std::uint64_t, const RaftMessage&) { return false; };
   Span way{12};
   std::uint64_t sent() const { return sent_; }
 
@@ -127,10 +127,10 @@
     Agreement::Output output = node.agreement->take(now_);
     if (output.save) node.pending = std::move(output.save);
     for (auto& result : output.results) node.results[result.token] = result;
-    for (auto& letter : output.letters) {
+    for (auto& outgoing : output.messages) {
       const std::uint64_t number = ++sent_;
-      if (cut_.contains(node.address) || cut_.contains(letter.to) || should_drop(number, letter.ballot)) continue;
-      flying_.push_back({now_ + way, letter.to, std::move(letter.ballot)});
+      if (cut_.contains(node.address) || cut_.contains(outgoing.to) || should_drop(number, outgoing.message)) continue;
+      flying_.push_back({now_ + way, outgoing.to, std::move(outgoing.message)});
     }
   }
 
--- a/tests/database_stage.h
+++ b/tests/database_stage.h
@@ -163,7 +163,7 @@
     graves_.clear();
   }
 
-  const ConfigurationCapture& configuration() const override { return configuration_; }
+  const ConfigurationSnapshot& configuration() const override { return configuration_; }
   DatabaseChoice choose(const Session&, const std::string&, const Rule& rule, bool must_lead, Moment, Moment) override {
     if (!must_lead && rule.sight == Sight::bounded && after.is_known()) return {backends["copy"], false, after};
     return {has_hold ? backends["leader"] : nullptr, true, {}};
@@ -217,7 +217,7 @@
             [](Backend&, const LogPlace&, Moment) {}, [](Backend&, bool) {}, [] { return Clock::now(); },
             [this](std::unique_ptr<Lane> lane) { graves_.push_back(std::move(lane)); }};
   }
-  ConfigurationCapture configuration_;
+  ConfigurationSnapshot configuration_;
   std::map<const Session*, Client*> clients_;
   std::vector<Link*> links_;
   std::vector<std::unique_ptr<Lane>> graves_;
--- a/tests/edges_test.cpp
+++ b/tests/edges_test.cpp
@@ -126,8 +126,8 @@
   }
   void lead() {
     if (now < leaderless_until) return;
-    std::vector<Edition> holds;
-    for (const std::uint64_t mark : held) holds.push_back(Edition{static_cast<std::int64_t>(mark)});
+    std::vector<Version> holds;
+    for (const std::uint64_t mark : held) holds.push_back(Version{static_cast<std::int64_t>(mark)});
     if (rollout->advance(holds, now) != Rollout::Turn::none)
       for (Broker& broker : brokers) tell(broker);
     if (now - judged < 400ms) return;
@@ -138,7 +138,7 @@
     if (!view) return;
     ++turns;
     if (decided == Moment{} && now >= slow_from) decided = now;
-    rollout->commit(Edition{static_cast<std::int64_t>(view->mark)}, now);
+    rollout->commit(Version{static_cast<std::int64_t>(view->mark)}, now);
     // The view goes out at once; half of the brokers get it with their next follow alone.
     for (std::size_t place = 0; place < brokers.size(); place += 2) {
       if (has_common_turn) tell(brokers[place]);
@@ -155,7 +155,7 @@
     if (!does_new_leader_know) return;
     judge->take(known, now);
     judge->take_ways(ways);
-    if (known->mark) rollout->commit(Edition{static_cast<std::int64_t>(known->mark)}, now);
+    if (known->mark) rollout->commit(Version{static_cast<std::int64_t>(known->mark)}, now);
   }
   void run() {
     while (now < morning + length) {
--- a/tests/errand_test.cpp
+++ b/tests/errand_test.cpp
@@ -42,7 +42,7 @@
   stage.errand->start(start);
   for (Moment now = start; now < start + 900ms; now += 10ms) stage.errand->on_due(now);
   cr_expect(stage.asked.size() == 1);
-  stage.errand->on_due(stage.errand->cutoff());
+  stage.errand->on_due(stage.errand->deadline());
   cr_expect(stage.status() == 504, "it may have run: no promise");
 }
 
@@ -113,7 +113,7 @@
   for (std::size_t part = 0; part < 2; ++part) stage.take(part, Stage::good("p" + std::to_string(part)));
   stage.errand->on_due(start + 190ms);
   cr_expect(stage.answers == 0);
-  stage.errand->on_due(stage.errand->cutoff());
+  stage.errand->on_due(stage.errand->deadline());
   cr_expect(stage.status() == 504);
 }
 
@@ -134,11 +134,11 @@
   cr_expect(stage.status() == 200 && stage.final.fields.ends_with("Parts-Missing: 1\r\n"));
 }
 
-Test(errand, the_answer_comes_before_the_clients_cutoff) {
+Test(errand, the_answer_comes_before_the_clients_deadline) {
   Stage stage(single);
   stage.errand->start(start);
-  cr_expect(stage.errand->cutoff() < start + 1000ms);
-  stage.errand->on_due(stage.errand->cutoff());
+  cr_expect(stage.errand->deadline() < start + 1000ms);
+  stage.errand->on_due(stage.errand->deadline());
   cr_expect(stage.answers == 1 && stage.status() == 504);
 }
 
--- a/tests/ring_test.cpp
+++ b/tests/ring_test.cpp
@@ -172,7 +172,7 @@
 }
 
 Test(ring, a_file_that_no_route_allows_is_refused_whole) {
-  ConfigurationCapture configuration;
+  ConfigurationSnapshot configuration;
   const std::string body = R"({"version":1,"services":[{"name":"a"},{"name":"b"},{"name":"c"}],"routes":[)"
                            R"({"name":"lookups","host":"h","path_start":"/l/","sort":"harmless","give_up_ms":1000,"target_ms":200,"shares":[{"service":"a","weight":1},{"service":"b","weight":0}]},)"
                            R"({"name":"all","host":"h","path_start":"/g/","sort":"harmless","give_up_ms":1000,"target_ms":200,"ask_all":["a","b"],"best_count":1,"fewest_parts":1}]})";
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -20,12 +20,12 @@
   explicit Stage(const std::string& rule, int copies = 2) {
     const std::string body = R"({"version":1,"services":[{"name":"s0"},{"name":"s1"},{"name":"s2"},{"name":"s3"}],"routes":[{"host":"h",)"
                              R"("path_start":"/a/","give_up_ms":1000,"target_ms":200,"tries":2,)" + rule + "}]}";
-    ConfigurationCapture capture;
-    const Fault found = read_configuration(body, capture);
+    ConfigurationSnapshot snapshot;
+    const Fault found = read_configuration(body, snapshot);
     cr_assert(!found, "%s", found.text().c_str());
     auto table = std::make_shared<Table>();
-    table->configuration = capture;
-    table->by_service.resize(capture->services.size());
+    table->configuration = snapshot;
+    table->by_service.resize(snapshot->services.size());
     for (std::size_t service = 0; service < table->by_service.size(); ++service)
       for (int copy = 0; copy < copies; ++copy) {
         auto backend = std::make_shared<Backend>();
@@ -35,7 +35,7 @@
         table->by_service[service].push_back(backend);
       }
     table_ = table;
-    errand = std::make_unique<Errand>(*this, table_, capture->rules[0], start, Span(1000));
+    errand = std::make_unique<Errand>(*this, table_, snapshot->rules[0], start, Span(1000));
   }
   bool ask(Asker&, std::size_t part, Backend& backend, Moment) override {
     asked.push_back({part, &backend});
@@ -80,7 +80,7 @@
   std::unique_ptr<Errand> errand;
 
  private:
-  TableCapture table_;
+  TableSnapshot table_;
   std::map<std::string, Budget> budgets_;
   Picker picker_{{"", ""}, 1};
   Pace pace_;
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -29,7 +29,7 @@
   auto entry = std::make_shared<Entry>();
   entry->term = {3};
   entry->index = {index};
-  entry->edition = {static_cast<std::int64_t>(index)};
+  entry->version = {static_cast<std::int64_t>(index)};
   entry->body = body;
   entry->members = {{MemberId{5}, "10.0.0.1:7"}};
   entry->core_size = 3;
@@ -43,8 +43,8 @@
 }
 
 std::string complaint(const std::string& body) {
-  ConfigurationCapture capture;
-  return read_configuration(body, capture).step;
+  ConfigurationSnapshot snapshot;
+  return read_configuration(body, snapshot).step;
 }
 
 }  // namespace
@@ -96,16 +96,16 @@
 }
 
 Test(frames, one_cut_short_anywhere_is_dropped) {
-  Ballot ballot;
-  ballot.type = Ballot::Type::append;
-  ballot.entry = durable_of(4, "four").entry;
-  ballot.members = {{MemberId{1}, "a"}};
-  const std::string bytes = encode({FrameKind::ballot, LifeId{9}, "10.0.0.1:7"}, ballot);
+  RaftMessage message;
+  message.type = RaftMessage::Type::append;
+  message.entry = durable_of(4, "four").entry;
+  message.members = {{MemberId{1}, "a"}};
+  const std::string bytes = encode({FrameKind::raft, LifeId{9}, "10.0.0.1:7"}, message);
   const auto is_read = [](std::string_view frame) {
     ByteReader reader(frame);
     FrameHead head;
-    Ballot read;
-    return decode_head(reader, head) && head.kind == FrameKind::ballot && decode(reader, read) && read.entry->body == "four";
+    RaftMessage read;
+    return decode_head(reader, head) && head.kind == FrameKind::raft && decode(reader, read) && read.entry->body == "four";
   };
   cr_expect(is_read(bytes));
   cr_expect(!is_read(bytes + "x"));
@@ -113,16 +113,16 @@
 }
 
 Test(configuration, a_proper_one_is_indexed) {
-  ConfigurationCapture capture;
+  ConfigurationSnapshot snapshot;
   const std::string body = configuration(
       R"({"host":"H.example","path_start":"/a/","sort":"risky","give_up_ms":100,"service":"s"},)"
       R"({"host":"h.example","path_start":"/a/b/","sort":"harmless","give_up_ms":100,"ask_all":["s","t"],"best_count":5,"fewest_parts":0.5,"tries":2})");
-  cr_assert(!read_configuration(body, capture));
-  cr_expect(capture->body == body);
-  cr_expect(capture->match("h.EXAMPLE:80", "/a/b/c") == &capture->rules[1]);
-  cr_expect(capture->match("h.example", "/a/x?/a/b/") == &capture->rules[0]);
-  cr_expect(capture->match("h.example", "/ax/") == nullptr);
-  cr_expect(capture->match("other", "/a/") == nullptr);
+  cr_assert(!read_configuration(body, snapshot));
+  cr_expect(snapshot->body == body);
+  cr_expect(snapshot->match("h.EXAMPLE:80", "/a/b/c") == &snapshot->rules[1]);
+  cr_expect(snapshot->match("h.example", "/a/x?/a/b/") == &snapshot->rules[0]);
+  cr_expect(snapshot->match("h.example", "/ax/") == nullptr);
+  cr_expect(snapshot->match("other", "/a/") == nullptr);
 }
 
 Test(configuration, what_is_wrong_is_named) {
--- a/tools/capacity.cpp
+++ b/tools/capacity.cpp
@@ -115,7 +115,7 @@
   std::unique_ptr<Spoke> spoke;
   std::string address;
   Moment due{}, fetched{}, counted{};
-  Edition held, wanted;
+  Version held, wanted;
   std::uint64_t life = 0, mark = 0, seats_mark = 0, edges_held = 0;
 };
 
@@ -246,8 +246,8 @@
       follow(hollow);
     }
   }
-  std::size_t holding(Edition edition) const {
-    return static_cast<std::size_t>(std::count_if(hollows_.begin(), hollows_.end(), [&](const Hollow& hollow) { return hollow.held >= edition; }));
+  std::size_t holding(Version version) const {
+    return static_cast<std::size_t>(std::count_if(hollows_.begin(), hollows_.end(), [&](const Hollow& hollow) { return hollow.held >= version; }));
   }
   std::uint64_t sent_bytes = 0, sent = 0, heard_bytes = 0, heard = 0;
 
@@ -255,7 +255,7 @@
   static constexpr int per_context = 250;
   void follow(Hollow& hollow, bool wants_body = false) {
     Follow follow;
-    follow.edition = hollow.held;
+    follow.version = hollow.held;
     follow.roster_life = hollow.life;
     follow.roster_mark = hollow.mark;
     follow.wants_body = wants_body;
@@ -283,13 +283,13 @@
       if (!decode(reader, beat)) return;
       hollow.seats_mark = beat.seats_mark;
       const Moment now = Clock::now();
-      if (beat.edition <= hollow.held || (beat.edition == hollow.wanted && now - hollow.fetched < fetch_again)) return;
-      hollow.wanted = beat.edition;
+      if (beat.version <= hollow.held || (beat.version == hollow.wanted && now - hollow.fetched < fetch_again)) return;
+      hollow.wanted = beat.version;
       hollow.fetched = now;
       follow(hollow, true);
     } else if (head.kind == FrameKind::body) {
       Body body;
-      if (decode(reader, body)) hollow.held = std::max(hollow.held, body.edition);
+      if (decode(reader, body)) hollow.held = std::max(hollow.held, body.version);
     } else if (head.kind == FrameKind::roster) {
       Roster roster;
       if (decode(reader, roster)) hollow.life = head.life.value, hollow.mark = roster.mark;
@@ -325,7 +325,7 @@
     hollows.turn(now);
   };
   const Moment born = Clock::now();
-  while (Clock::now() < born + 30s && (caller.taken == 0 || hollows.holding(Edition{1}) < static_cast<std::size_t>(wanted.brokers))) {
+  while (Clock::now() < born + 30s && (caller.taken == 0 || hollows.holding(Version{1}) < static_cast<std::size_t>(wanted.brokers))) {
     const Moment now = Clock::now();
     if (caller.taken == 0 && now - put_at > 300ms) put_at = now, caller.put(configuration(version, wanted));
     turn(now);
@@ -351,7 +351,7 @@
       ++platform.replaced;
     }
     turn(now);
-    if (changed != Moment{} && hollows.holding(Edition{version}) == static_cast<std::size_t>(wanted.brokers)) {
+    if (changed != Moment{} && hollows.holding(Version{version}) == static_cast<std::size_t>(wanted.brokers)) {
       spreads.push_back(std::chrono::duration<double, std::milli>(Clock::now() - changed).count());
       changed = {};
     }
