Members change by joint entries; whoever leaves goes after its place is taken; entries travel as changes, in pieces

Change: silence from catch_up_s (read, checked, required of a registry); joint entries; leave asks the leader and waits for the successor; pieces of 16 KiB with a window; a follower confirms only while its leader says it has a majority.

--- a/src/coordination/agreement.cpp
+++ b/src/coordination/agreement.cpp
@@ -1,6 +1,7 @@
 #include "coordination/agreement.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace saddlewing {
 
@@ -10,7 +11,7 @@
     : durable_(std::move(durable)), options_(std::move(options)), contacts_(std::move(contacts)), draw_(options_.draw) {
   serial_ = entry_serial_ = 1;  // what was loaded or founded is saved before anything else leaves
   set_election(now);
-  if (!is_member(durable_.self)) election_ = now;  // a newcomer asks at once
+  if (!is_voter(durable_.self)) election_ = now;  // a newcomer asks at once
   due_ = now;
 }
 
@@ -29,9 +30,18 @@
   held_.push_back({is_durable ? serial_ : 0, {to, std::move(message)}});
 }
 
-bool Agreement::is_member(MemberId id) const {
-  const auto& members = durable_.entry->members;
-  return std::any_of(members.begin(), members.end(), [&](const Member& member) { return member.id == id; });
+bool Agreement::is_voter(const Entry& entry, MemberId id) {
+  const auto is_in = [&](const std::vector<Member>& members) {
+    return std::any_of(members.begin(), members.end(), [&](const Member& member) { return member.id == id; });
+  };
+  return is_in(entry.members) || is_in(entry.former);
+}
+
+std::vector<Member> Agreement::voters() const {
+  std::vector<Member> all = durable_.entry->members;
+  for (const Member& member : durable_.entry->former)
+    if (std::none_of(all.begin(), all.end(), [&](const Member& one) { return one.id == member.id; })) all.push_back(member);
+  return all;
 }
 
 bool Agreement::is_newer_or_same(const RaftMessage& message) const {
@@ -71,6 +81,8 @@
     fail_all();
     peers_.clear();
     learners_.clear();
+    contents_.clear();
+    changes_.clear();
     is_under_way_ = false;
     leader_id_ = {};
     leader_.clear();
@@ -87,7 +99,7 @@
   votes_.clear();
   votes_[durable_.self] = true;
   set_election(now);
-  for (const Member& member : durable_.entry->members)
+  for (const Member& member : voters())
     if (member.id != durable_.self) {
       RaftMessage message = make(Type::pre_vote);
       message.term.value = durable_.term.value + 1;
@@ -103,7 +115,7 @@
   votes_.clear();
   change_term(Term{durable_.term.value + 1}, durable_.self);
   set_election(now);
-  for (const Member& member : durable_.entry->members)
+  for (const Member& member : voters())
     if (member.id != durable_.self) {
       RaftMessage message = make(Type::vote);
       message.is_transfer = is_transfer;
@@ -112,9 +124,11 @@
 }
 
 void Agreement::count_votes(Moment now) {
-  std::size_t granted = 0;
-  for (const auto& [id, is_granted] : votes_) granted += is_granted && is_member(id);
-  if (granted < majority()) return;
+  const auto is_granted = [&](MemberId id) {
+    const auto vote = votes_.find(id);
+    return vote != votes_.end() && vote->second;
+  };
+  if (!is_quorum(is_granted)) return;
   if (role_ == Role::pre_candidate) start_candidate(false, now);
   else if (role_ == Role::candidate) start_leader(now);
 }
@@ -127,9 +141,10 @@
   peers_.clear();
   learners_.clear();
   attached_.clear();
-  for (const Member& member : durable_.entry->members)
-    if (member.id != durable_.self) peers_[member.id] = {member.address, now, {}, false, 0, 0, {}};
-  start_entry(durable_.entry->members, now);
+  started_.clear();
+  contents_.clear();
+  keep_content();
+  start_entry(durable_.entry->members, durable_.entry->former, now);
 }
 
 void Agreement::set_entry(EntrySnapshot entry) {
@@ -138,11 +153,12 @@
 }
 
 // Proposes the present state under a new index, with the newest waiting configuration and these members.
-void Agreement::start_entry(std::vector<Member> members, Moment now) {
+void Agreement::start_entry(std::vector<Member> members, std::vector<Member> former, Moment now) {
   auto entry = std::make_shared<Entry>(*durable_.entry);
   entry->term = durable_.term;
   entry->index.value = durable_.entry->index.value + 1;
   entry->members = std::move(members);
+  entry->former = std::move(former);
   if (!entry->core_size) entry->core_size = std::max(options_.voters, static_cast<std::uint32_t>(entry->members.size()));
   for (Waiting& waiting : waiting_) {
     if (!waiting.sheet.empty()) {
@@ -156,17 +172,22 @@
   waiting_.clear();
   set_entry(std::move(entry));
   is_under_way_ = true;
+  started_[durable_.entry->index] = now;
+  while (started_.size() > 256) started_.erase(started_.begin());
+  keep_content();
   std::map<MemberId, Peer> kept;
-  for (const Member& member : durable_.entry->members) {
+  for (const Member& member : voters()) {
     if (member.id == durable_.self) continue;
     const auto found = peers_.find(member.id);
-    kept[member.id] = found != peers_.end() ? found->second : Peer{member.address, now, {}, false, 0, 0, {}};
+    Peer& peer = kept[member.id];
+    if (found != peers_.end()) peer = std::move(found->second);
+    else peer.heard = now;
+    peer.address = member.address;
     learners_.erase(member.id);
   }
   for (const auto& [id, heard] : learners_)
-    if (const auto found = peers_.find(id); found != peers_.end()) kept[id] = found->second;
+    if (const auto found = peers_.find(id); found != peers_.end() && !kept.contains(id)) kept[id] = std::move(found->second);
   peers_ = std::move(kept);
-  for (auto& [id, peer] : peers_) peer.is_matched = false;
   broadcast(now, false);
   check_commit(now);
 }
@@ -175,65 +196,54 @@
   if (role_ != Role::leader || is_under_way_ || waiting_.empty()) return;
   const bool is_newer = std::any_of(waiting_.begin(), waiting_.end(),
                                     [&](const Waiting& waiting) { return !waiting.sheet.empty() || waiting.version > durable_.entry->version; });
-  if (is_newer) return start_entry(durable_.entry->members, now);
+  if (is_newer) return start_entry(durable_.entry->members, durable_.entry->former, now);
   for (const Waiting& waiting : waiting_) results_.push_back({waiting.token, Verdict::done, nullptr});
   waiting_.clear();
 }
 
 void Agreement::check_commit(Moment now) {
   if (role_ != Role::leader || !is_under_way_) return;
-  std::size_t matched = is_member(durable_.self) && saved_ >= entry_serial_;
-  for (const auto& [id, peer] : peers_) matched += peer.is_matched && is_member(id);
-  if (matched < majority()) return;
+  const Index newest = durable_.entry->index;
+  const bool is_held = is_quorum([&](MemberId id) {
+    if (id == durable_.self) return saved_ >= entry_serial_;
+    const auto peer = peers_.find(id);
+    return peer != peers_.end() && peer->second.matched == newest;
+  });
+  if (!is_held) return;
   is_under_way_ = false;
   committed_ = durable_.entry;
   for (const std::uint64_t token : attached_) results_.push_back({token, Verdict::done, nullptr});
   attached_.clear();
   broadcast(now, true);
-  if (!is_member(durable_.self)) return follow(durable_.term, now);
+  // A joint entry is followed by one of the new members alone; nothing is waited for in between.
+  if (!committed_->former.empty()) return start_entry(committed_->members, {}, now);
+  if (!is_voter(durable_.self)) return transfer(now);
+  // Members change also while one change of the configuration follows another.
+  tend_members(now);
   start_waiting(now);
 }
 
-void Agreement::send_append(Peer& peer, Moment now, bool is_beat) {
-  const bool should_carry = !peer.is_matched && (peer.sent_serial != entry_serial_ || now - peer.sent_at > options_.beat * 3);
-  if (!should_carry && !is_beat) return;
-  RaftMessage message = make(Type::append);
-  message.round = round_;
-  if (committed_ && !is_under_way_) message.commit = durable_.entry->index;
-  if (should_carry) {
-    message.entry = durable_.entry;
-    peer.sent_serial = entry_serial_;
-    peer.sent_at = now;
-  }
-  send(peer.address, std::move(message), false);
-}
-
-void Agreement::broadcast(Moment now, bool is_beat) {
-  if (is_beat) {
-    beat_due_ = now + options_.beat;
-    round_sent_[++round_] = now;
-    while (round_sent_.size() > 64) round_sent_.erase(round_sent_.begin());
-  }
-  for (auto& [id, peer] : peers_) send_append(peer, now, is_beat);
-}
-
-std::size_t Agreement::heard_since(Moment since) const {
-  std::size_t count = is_member(durable_.self);
-  for (const auto& [id, peer] : peers_) count += peer.heard >= since && is_member(id);
-  return count;
+bool Agreement::hears_quorum(Moment since) const {
+  return is_quorum([&](MemberId id) {
+    if (id == durable_.self) return true;
+    const auto peer = peers_.find(id);
+    return peer != peers_.end() && peer->second.heard >= since;
+  });
 }
 
 bool Agreement::is_confirmed(Moment now) const {
   if (!committed_) return false;
-  if (role_ == Role::leader) return heard_since(now - options_.election) >= majority() && committed_->term == durable_.term;
-  return !leader_.empty() && now - heard_leader_ < options_.election;
+  if (role_ == Role::leader) return hears_quorum(now - options_.election) && committed_->term == durable_.term;
+  return !leader_.empty() && now - heard_confirmed_ < options_.election;
 }
 
 bool Agreement::is_leased(Moment now) const {
   if (role_ != Role::leader || !committed_ || committed_->term != durable_.term) return false;
-  std::size_t count = is_member(durable_.self);
-  for (const auto& [id, peer] : peers_) count += peer.leased != Moment{} && now - peer.leased < options_.election && is_member(id);
-  return count >= majority();
+  return is_quorum([&](MemberId id) {
+    if (id == durable_.self) return true;
+    const auto peer = peers_.find(id);
+    return peer != peers_.end() && peer->second.leased != Moment{} && now - peer->second.leased < options_.election;
+  });
 }
 
 void Agreement::propose(Version version, std::string body, std::uint64_t token, Moment now) {
@@ -258,80 +268,49 @@
 void Agreement::check_reads() {
   if (role_ != Role::leader || !committed_ || committed_->term != durable_.term) return;
   std::erase_if(reads_, [&](const Read& read) {
-    std::size_t count = is_member(durable_.self);
-    for (const auto& [id, peer] : peers_) count += peer.round >= read.round && is_member(id);
-    if (count < majority()) return false;
+    const bool is_answered = is_quorum([&](MemberId id) {
+      if (id == durable_.self) return true;
+      const auto peer = peers_.find(id);
+      return peer != peers_.end() && peer->second.round >= read.round;
+    });
+    if (!is_answered) return false;
     results_.push_back({read.token, Verdict::done, committed_});
     return true;
   });
 }
 
-// Gives the lead to the member that holds most, at once.
+// Gives the lead to the voter that holds most, at once.
 void Agreement::transfer(Moment now) {
   if (role_ != Role::leader) return;
   const Peer* heir = nullptr;
-  for (const auto& [id, peer] : peers_)
-    if (is_member(id) && (!heir || std::pair(peer.is_matched, peer.heard) > std::pair(heir->is_matched, heir->heard)))
-      heir = &peer;
+  const auto rank = [&](const Peer& peer) { return std::tuple(now - peer.leaving > options_.election, now - peer.heard < options_.election, peer.matched, peer.heard); };
+  for (const Member& member : durable_.entry->members)
+    if (const auto found = peers_.find(member.id); found != peers_.end() && (!heir || rank(found->second) > rank(*heir))) heir = &found->second;
   if (heir) send(heir->address, make(Type::transfer), false);
   follow(durable_.term, now);
   election_ = now + options_.election * 3;
 }
 
-// One change of members at a time; a voter leaves only when a caught-up learner stands ready or has come in.
-void Agreement::tend_members(Moment now) {
-  if (is_under_way_ || !committed_ || committed_->term != durable_.term) return;
-  std::vector<Member> members = durable_.entry->members;
-  const auto is_silent = [&](const Member& member) {
-    const auto found = peers_.find(member.id);
-    return found != peers_.end() && now - found->second.heard > options_.silent;
-  };
-  for (const auto& [id, asked] : learners_) {
-    const auto found = peers_.find(id);
-    if (found == peers_.end() || !found->second.is_matched || now - found->second.heard > 1s) continue;
-    const std::string& address = found->second.address;
-    const auto former = std::find_if(members.begin(), members.end(),
-                                     [&](const Member& member) { return member.address == address && member.id != id; });
-    if (former != members.end()) {
-      members.erase(former);  // it lost its disk: that id can never answer again
-      return start_entry(std::move(members), now);
-    }
-    if (members.size() < durable_.entry->core_size || std::any_of(members.begin(), members.end(), is_silent)) {
-      members.push_back({id, address});
-      return start_entry(std::move(members), now);
-    }
-  }
-  if (members.size() <= durable_.entry->core_size) return;
-  const auto silent = std::find_if(members.begin(), members.end(), is_silent);
-  if (silent == members.end()) return;
-  members.erase(silent);
-  start_entry(std::move(members), now);
-}
-
 void Agreement::tick(Moment now) {
   const bool is_stuck = save_started_ && now - *save_started_ > options_.stuck;
   if (role_ == Role::leader) {
     if (is_stuck) transfer(now);
-    else if (heard_since(now - options_.election * 2) < majority()) follow(durable_.term, now);
+    else if (!hears_quorum(now - options_.election * 2)) follow(durable_.term, now);
   }
+  tend_leaving(now);
   if (role_ == Role::leader) {
-    std::erase_if(learners_, [&](const auto& learner) {
-      if (now - learner.second <= options_.silent) return false;
-      peers_.erase(learner.first);
-      return true;
-    });
     tend_members(now);
     if (now >= beat_due_) broadcast(now, true);
     due_ = beat_due_;
     return;
   }
-  const bool may_lead = is_member(durable_.self) && !is_removed_;
+  const bool may_lead = is_voter(durable_.self) && !is_removed_ && !leaving_since_;
   if (now >= election_) {
     if (may_lead && !is_stuck) {
       start_pre_candidate(now);
     } else {
       set_election(now);
-      if (!may_lead && now - heard_leader_ > options_.election) ask_to_join(now);
+      if (!may_lead && !leaving_since_ && now - heard_leader_ > options_.election) ask_to_join();
     }
   }
   due_ = election_;
@@ -373,7 +352,7 @@
     if (address != options_.address && std::find(addresses.begin(), addresses.end(), address) == addresses.end())
       addresses.push_back(address);
   };
-  for (const Member& member : durable_.entry->members) add(member.address);
+  for (const Member& member : voters()) add(member.address);
   for (const std::string& contact : contacts_) add(contact);
   return addresses;
 }
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "state/metrics.h"
 #include "state/packing.h"
@@ -27,6 +28,8 @@
   options.election = startup.election;
   options.draw = life.value;
   options.voters = static_cast<std::uint32_t>(startup.can_lose) * 2 + 1;
+  options.silent = silent_span(startup.catch_up, startup.election);
+  options.leave_wait = std::min(startup.catch_up / 2, startup.grace / 3);
   return options;
 }
 
@@ -117,13 +120,13 @@
     tend_rollout(now);
     handle_output(now);
     if (should_leave_ && leave_by == Moment::max()) {
-      LOG(INFO) << "agree: leaving";
-      agreement_.transfer(now);
+      if (!std::exchange(is_leaving_, true)) LOG(INFO) << "agree: leaving";
+      agreement_.leave(now);
       handle_output(now);
-      leave_by = now + call_wait;
+      if (agreement_.has_left()) leave_by = now + call_wait;
     }
     // Calls at work are answered first, by whoever leads now.
-    if (should_leave_ && calls_.empty() && now > leave_by - call_wait + 200ms) break;
+    if (leave_by != Moment::max() && calls_.empty() && now > leave_by - call_wait + 200ms) break;
   }
   has_left_ = true;
 }
@@ -285,6 +288,11 @@
   }
   if (!agreement_.committed() || agreement_.committed() == noted_) return;
   const bool is_new_version = !noted_ || noted_->version != agreement_.committed()->version;
+  if (!noted_ || noted_->members != agreement_.committed()->members || noted_->former != agreement_.committed()->former) {
+    std::string members;
+    for (const Member& member : agreement_.committed()->members) members += " " + member.address;
+    LOG(INFO) << "agree: members" << members << (agreement_.committed()->former.empty() ? "" : ", joint with the former ones");
+  }
   noted_ = agreement_.committed();
   if (!is_new_version || noted_->version.value == 0) return;
   steps_.note(noted_->version, "committed", now);
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -172,7 +172,7 @@
   std::string packed_;                     // its body, as brokers get it
   Rollout rollout_;
   Grants grants_;
-  bool is_observing_ = false, was_leader_ = false;
+  bool is_observing_ = false, was_leader_ = false, is_leaving_ = false;
   std::uint64_t ordered_mark_ = ~0ull;
   Moment registry_due_{}, foreign_logged_{};
   std::uint64_t foreign_ = 0;
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -3,7 +3,7 @@
 namespace saddlewing {
 namespace {
 
-constexpr std::uint64_t protocol_number = 0x5357'0003;
+constexpr std::uint64_t protocol_number = 0x5357'0004;
 
 Writer open_frame(const FrameHead& head, FrameKind kind) {
   Writer writer;
@@ -48,15 +48,21 @@
   Writer writer = open_frame(head, FrameKind::raft);
   writer.number(static_cast<std::uint64_t>(value.type)).number(value.from.value).text(value.address).number(value.term.value);
   writer.number(value.entry_term.value).number(value.entry_index.value).number(value.commit.value).number(value.round);
-  writer.number(value.is_granted).number(value.is_transfer).number(value.is_removed).text(value.leader);
+  writer.number(value.is_granted).number(value.is_transfer).number(value.is_removed).number(value.is_confirmed).text(value.leader);
   write_members(writer, value.members);
-  writer.number(value.entry != nullptr);
-  if (value.entry) write_entry(writer, *value.entry);
+  writer.number(value.piece_index.value).number(value.piece_end).number(value.wants_whole).number(value.piece.has_value());
+  if (!value.piece) return writer.take();
+  const EntryPiece& piece = *value.piece;
+  writer.number(piece.term.value).number(piece.index.value).number(piece.version.value).number(piece.core_size);
+  write_members(writer, piece.members);
+  write_members(writer, piece.former);
+  writer.number(piece.base_term.value).number(piece.base_index.value).number(piece.prefix).number(piece.suffix).number(piece.digest);
+  writer.number(piece.total).number(piece.offset).text(piece.bytes);
   return writer.take();
 }
 
 bool decode(ByteReader& reader, RaftMessage& value) {
-  if (!read_enum(reader, value.type, RaftMessage::Type::joined)) return false;
+  if (!read_enum(reader, value.type, RaftMessage::Type::left)) return false;
   value.from.value = reader.number();
   value.address = reader.text();
   value.term.value = reader.number();
@@ -67,13 +73,28 @@
   value.is_granted = reader.number();
   value.is_transfer = reader.number();
   value.is_removed = reader.number();
+  value.is_confirmed = reader.number();
   value.leader = reader.text();
   read_members(reader, value.members);
-  if (reader.number()) {
-    auto entry = std::make_shared<Entry>();
-    read_entry(reader, *entry);
-    value.entry = std::move(entry);
-  }
+  value.piece_index.value = reader.number();
+  value.piece_end = reader.number();
+  value.wants_whole = reader.number();
+  if (!reader.number()) return reader.is_whole();
+  EntryPiece& piece = value.piece.emplace();
+  piece.term.value = reader.number();
+  piece.index.value = reader.number();
+  piece.version.value = static_cast<std::int64_t>(reader.number());
+  piece.core_size = static_cast<std::uint32_t>(reader.number());
+  read_members(reader, piece.members);
+  read_members(reader, piece.former);
+  piece.base_term.value = reader.number();
+  piece.base_index.value = reader.number();
+  piece.prefix = reader.number();
+  piece.suffix = reader.number();
+  piece.digest = reader.number();
+  piece.total = reader.number();
+  piece.offset = reader.number();
+  piece.bytes = reader.text();
   return reader.is_whole();
 }
 
--- a/src/state/bytes.h
+++ b/src/state/bytes.h
@@ -79,9 +79,10 @@
   writer.number(entry.term.value).number(entry.index.value).number(entry.version.value).text(entry.body);
   writer.number(entry.core_size);
   write_members(writer, entry.members);
-  if (entry.sheets.empty()) return;  // as records of earlier versions end
+  if (entry.sheets.empty() && entry.former.empty()) return;  // as records of earlier versions end
   writer.number(entry.sheets.size());
   for (const auto& [name, text] : entry.sheets) writer.text(name).text(text);
+  if (!entry.former.empty()) write_members(writer, entry.former);
 }
 
 inline void read_entry(ByteReader& reader, Entry& entry) {
@@ -96,6 +97,7 @@
     std::string name = reader.text();
     entry.sheets[std::move(name)] = reader.text();
   }
+  if (!reader.is_whole()) read_members(reader, entry.former);
 }
 
 }  // namespace saddlewing
--- a/src/state/startup.cpp
+++ b/src/state/startup.cpp
@@ -47,9 +47,9 @@
       field = value->asDouble();
     }
   }
-  void span(const std::string& path, Span& field, double factor = 1) {
+  void span(const std::string& path, Span& field, double factor = 1, bool is_required = false) {
     double count = static_cast<double>(field.count()) / factor;
-    number(path, count, 0.001, 86400000);
+    number(path, count, 0.001, 86400000, is_required);
     field = Span(std::max<std::int64_t>(1, std::llround(count * factor)));
   }
   void truth(const std::string& path, bool& field) {
@@ -172,6 +172,7 @@
   read.file_handles = static_cast<int>(handles);
   reader.span("time_bounds.empty_out_ms", read.empty_out);
   reader.span("time_bounds.grace_s", read.grace, 1000);
+  reader.span("time_bounds.catch_up_s", read.catch_up, 1000, is_registry);
   reader.span("time_bounds.take_effect_ms", read.take_effect);
   reader.span("time_bounds.reuse_wait_s", read.reuse_wait, 1000);
   reader.span("time_bounds.retry_span_s", read.retry_span, 1000);
--- a/src/state/startup.h
+++ b/src/state/startup.h
@@ -39,6 +39,7 @@
   std::size_t memory_bytes = 256u << 20;
   int file_handles = 1024;
   Span empty_out{3000}, grace{6000}, take_effect{3000}, reuse_wait{2000}, retry_span{10000};
+  Span catch_up{4000};                            // a core machine counts as lost for so long after it is back
   double retry_share = 0.2;
   int extra_tries = 0;
   // Options of the project, under the table `options`.
--- a/src/state/store.h
+++ b/src/state/store.h
@@ -25,6 +25,8 @@
   Version version;
   std::string body;
   std::vector<Member> members;
+  // Of a joint entry: the members before. A majority of each list counts until the entry after it, which has none.
+  std::vector<Member> former;
   std::uint32_t core_size = 0;  // how many voters the core wants
   std::map<std::string, std::string> sheets;  // further agreed tables by name: leads of databases, the ring
 };
--- /dev/null
+++ b/tests/entry_change_test.cpp
@@ -0,0 +1,159 @@
+// Entries on their way: pieces, bases, digests; members that catch up while large changes follow each other.
+#include <criterion/criterion.h>
+
+#include "cluster.h"
+
+using namespace saddlewing;
+using tests::Cluster;
+
+namespace {
+
+EntrySnapshot entry_of(std::uint64_t index, const std::string& body, const std::string& sheet = {}) {
+  auto entry = std::make_shared<Entry>();
+  entry->term = {4};
+  entry->index = {index};
+  entry->version = {static_cast<std::int64_t>(index)};
+  entry->body = body;
+  if (!sheet.empty()) entry->sheets["ring"] = sheet;
+  entry->members = {{MemberId{5}, "10.0.0.1:7"}};
+  entry->former = {{MemberId{6}, "10.0.0.2:7"}};
+  entry->core_size = 3;
+  return entry;
+}
+
+// Does not pack.
+std::string noise(std::size_t size, std::uint64_t seed) {
+  std::mt19937_64 draw(seed);
+  std::string text(size, ' ');
+  for (char& letter : text) letter = static_cast<char>('!' + draw() % 90);
+  return text;
+}
+
+// A configuration of so many bytes in which one route differs by its version, in the middle.
+std::string large_body(std::size_t size, std::int64_t version) {
+  static std::map<std::size_t, std::string> made;
+  std::string& body = made[size];
+  if (body.empty()) body = noise(size, size);
+  std::string changed = body;
+  const std::string number = "route-" + std::to_string(version) + ";";
+  changed.replace(size / 2, number.size(), number);
+  return changed;
+}
+
+bool is_same(const Entry& left, const Entry& right) {
+  return left.term == right.term && left.index == right.index && left.version == right.version && left.body == right.body && left.sheets == right.sheets &&
+         left.members == right.members && left.former == right.former && left.core_size == right.core_size;
+}
+
+}  // namespace
+
+Test(entry_change, only_what_differs_travels) {
+  const auto before = content_of(entry_of(7, large_body(300000, 7), "sheet")), after = content_of(entry_of(8, large_body(300000, 8), "other sheet"));
+  const auto change = make_change(*after, before.get());
+  cr_expect(change->bytes.size() < 160000, "what lies between the two places travels, no more");
+  const auto sheet_alone = make_change(*content_of(entry_of(8, large_body(300000, 7), "other")), before.get());
+  cr_expect(sheet_alone->bytes.size() < 64);
+  EntryAssembly assembly;
+  EntrySnapshot entry;
+  auto step = EntryAssembly::Step::more;
+  for (std::uint64_t offset = 0; offset < change->bytes.size(); offset += piece_bytes) {
+    cr_assert(step == EntryAssembly::Step::more);
+    step = assembly.take(change->piece(offset), before->entry, entry);
+  }
+  cr_assert(step == EntryAssembly::Step::whole);
+  cr_expect(is_same(*entry, *after->entry));
+}
+
+// Each piece lost, doubled, late or damaged in turn: never a wrong entry.
+Test(entry_change, a_piece_that_is_lost_doubled_or_damaged_brings_no_wrong_entry) {
+  const auto next = content_of(entry_of(8, noise(70000, 3)));
+  const auto change = make_change(*next, nullptr);
+  const std::size_t count = (change->bytes.size() + piece_bytes - 1) / piece_bytes;
+  for (std::size_t place = 0; place < count; ++place)
+    for (int strike = 0; strike < 5; ++strike) {
+      EntryAssembly assembly;
+      EntrySnapshot entry;
+      auto last = EntryAssembly::Step::more;
+      bool is_whole = false;
+      for (std::size_t at = 0; at < count; ++at) {
+        EntryPiece piece = change->piece(at * piece_bytes);
+        if (at == place && strike == 0) continue;                                      // lost
+        if (at == place && strike == 1) last = assembly.take(piece, next->entry, entry);  // doubled
+        if (at == place && strike == 2) piece.bytes[piece.bytes.size() / 2] ^= 1;         // damaged
+        if (at == place && strike == 3) piece.bytes.pop_back();                           // ends early
+        if (at == place && strike == 4) piece.offset += 1;
+        last = assembly.take(piece, next->entry, entry);
+        if (!entry) continue;
+        is_whole = true;
+        cr_expect(is_same(*entry, *next->entry));
+      }
+      cr_expect(is_whole == (strike == 1), "piece %zu, strike %d", place, strike);
+      if (strike == 2) cr_expect(last == EntryAssembly::Step::unusable && assembly.mismatches() == 1);
+    }
+}
+
+Test(entry_change, one_that_builds_on_another_entry_is_asked_for_whole) {
+  const auto base = content_of(entry_of(7, "seven, seven")), next = content_of(entry_of(8, "seven, eight"));
+  EntryAssembly assembly;
+  EntrySnapshot entry;
+  cr_expect(assembly.take(make_change(*next, base.get())->piece(0), entry_of(6, "six"), entry) == EntryAssembly::Step::unusable);
+  // The same term and index, and yet another content: the digest tells.
+  cr_expect(assembly.take(make_change(*next, base.get())->piece(0), entry_of(7, "never, seven"), entry) == EntryAssembly::Step::unusable);
+  cr_expect(assembly.take(make_change(*next, nullptr)->piece(0), entry_of(6, "six"), entry) == EntryAssembly::Step::whole);
+}
+
+// A member is away, comes back (with its disk, or wiped, or with a slow one) while changes go on and on: it catches up, no
+// beat waits behind what it gets, and it neither leads nor tells old state meanwhile.
+Test(entry_change, whoever_was_away_catches_up_while_changes_go_on) {
+  struct Row {
+    std::size_t size;
+    int changes;
+    std::size_t bytes_per_ms;  // of a way; 1000 is 8 Mbit/s
+  };
+  for (const Row& row : {Row{4000, 300, 125}, Row{300000, 300, 1000}, Row{4000000, 300, 12500}, Row{4000000, 1000, 12500}})
+    for (const bool is_wiped : {false, true}) {
+      if (row.size == 4000000 && is_wiped == (row.changes == 1000)) continue;  // one of each is enough
+      Cluster cluster(3);
+      cluster.bytes_per_ms = row.bytes_per_ms;
+      cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+      const std::string leader = cluster.leader();
+      std::int64_t version = 1;
+      std::uint64_t token = cluster.propose(version, large_body(row.size, version));
+      cr_assert(cluster.run_until([&] { return cluster.is_done(leader, token); }, 20000ms));
+      std::string away;
+      for (const std::string& founder : cluster.founders())
+        if (founder != leader) away = founder;
+      cluster.run(2000ms);
+      if (is_wiped) cluster.wipe(away);
+      else cluster.stop(away);
+      const Term term = cluster.at(leader).agreement->term();
+      const auto change = [&] {
+        ++version;
+        token = cluster.propose(version, large_body(row.size, version));
+        cr_assert(cluster.run_until([&] { return cluster.is_done(leader, token); }, 3000ms));
+      };
+      for (int count = 0; count < row.changes; ++count) change();
+      const std::uint64_t sent = cluster.piece_bytes_sent();
+      cluster.start(away);
+      const Moment back = cluster.now();
+      Moment lead_heard = back;
+      Span longest_silence{0}, caught_up{0};
+      const std::string back_at_version = large_body(row.size, version);
+      while (cluster.now() - back < Span(4000)) {
+        change();
+        const auto& agreement = *cluster.at(away).agreement;
+        if (agreement.leader_address() == leader) lead_heard = cluster.now();
+        longest_silence = std::max(longest_silence, span_between(lead_heard, cluster.now()));
+        cr_assert(agreement.role() == Agreement::Role::follower || agreement.role() == Agreement::Role::pre_candidate);
+        if (caught_up == Span(0) && agreement.committed() && agreement.committed()->version.value + 20 > version &&
+            std::any_of(cluster.at(leader).agreement->committed()->members.begin(), cluster.at(leader).agreement->committed()->members.end(),
+                        [&](const Member& member) { return member.id == agreement.self(); }))
+          caught_up = span_between(back, cluster.now());
+      }
+      cr_log_info("%zu bytes, %d changes, %zu bytes/ms, %s: caught up after %d ms, %d KB sent meanwhile", row.size, row.changes, row.bytes_per_ms,
+                  is_wiped ? "wiped" : "with its disk", static_cast<int>(caught_up.count()), static_cast<int>((cluster.piece_bytes_sent() - sent) / 1000));
+      cr_expect(caught_up > Span(0), "%zu bytes, %d changes, wiped %d", row.size, row.changes, is_wiped);
+      cr_expect(longest_silence < Span(700), "%d ms without a leader", static_cast<int>(longest_silence.count()));
+      cr_expect(cluster.leader() == leader && cluster.at(leader).agreement->term() == term);
+    }
+}
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,212 @@
+// Losses around a repair or a replacement, and who belongs to the core after them.
+#include <criterion/criterion.h>
+
+#include "cluster.h"
+
+using namespace saddlewing;
+using tests::Cluster;
+
+namespace {
+
+const std::string spare = "10.0.0.9:7";
+
+bool is_member_address(Cluster& cluster, const std::string& address) {
+  if (!cluster.has_leader()) return false;
+  const auto& committed = cluster.at(cluster.leader()).agreement->committed();
+  return committed && committed->former.empty() &&
+         std::any_of(committed->members.begin(), committed->members.end(), [&](const Member& member) { return member.address == address; });
+}
+
+// The members that run, the leader last.
+std::vector<std::string> running(Cluster& cluster, const std::string& but = {}) {
+  std::vector<std::string> found;
+  const std::string leader = cluster.leader();
+  for (const std::string& address : cluster.founders())
+    if (address != but && address != leader && cluster.at(address).agreement) found.push_back(address);
+  if (leader != but && leader != spare) found.push_back(leader);
+  return found;
+}
+
+bool acknowledges(Cluster& cluster, std::int64_t version, const std::string& body) {
+  if (!cluster.run_until([&] { return cluster.has_leader(); })) return false;
+  const std::string leader = cluster.leader();
+  const std::uint64_t token = cluster.propose(version, body);
+  return cluster.run_until([&] { return cluster.is_done(leader, token); }, 3000ms);
+}
+
+bool has_it(Cluster& cluster, const std::string& body, Span most = Span(10000)) {
+  return cluster.run_until([&] { return cluster.has_leader() && cluster.body_at(cluster.leader()) == body; }, most);
+}
+
+void start_core(Cluster& cluster) {
+  cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+  cluster.start(spare);
+  cluster.run(2000ms);
+}
+
+}  // namespace
+
+// Of a silent member's loss, and the next one's disk from then on: each moment in turn.
+Test(membership, a_silent_member_is_replaced_before_its_loss_may_count_as_made_good) {
+  for (const std::size_t count : {std::size_t{3}, std::size_t{5}})
+    for (const bool is_leader_lost : {false, true})
+      for (Span between(1500); between <= Span(4000); between += Span(250)) {
+        Cluster cluster(count);
+        start_core(cluster);
+        const std::string lost = is_leader_lost ? cluster.leader() : running(cluster).front();
+        cluster.stop(lost);
+        cluster.run(1200ms);
+        cr_assert(acknowledges(cluster, 5, "five"));
+        cluster.run(between - 1300ms);
+        std::vector<std::string> next = running(cluster, lost);
+        for (std::size_t wiped = 0; wiped < count / 2; ++wiped) cluster.wipe(next[wiped]);
+        cr_expect(has_it(cluster, "five"), "of %zu, leader %d, %d ms", count, is_leader_lost, static_cast<int>(between.count()));
+      }
+}
+
+// How long it takes, told in docs/design/control.md.
+Test(membership, a_silent_member_is_replaced_inside_catch_up) {
+  for (const std::size_t count : {std::size_t{3}, std::size_t{5}})
+    for (const bool is_leader_lost : {false, true}) {
+      Cluster cluster(count);
+      start_core(cluster);
+      const std::string lost = is_leader_lost ? cluster.leader() : running(cluster).front();
+      cluster.stop(lost);
+      const Moment from = cluster.now();
+      cr_assert(cluster.run_until([&] { return is_member_address(cluster, spare) && !is_member_address(cluster, lost); }));
+      const Span took = span_between(from, cluster.now());
+      cr_log_info("of %zu, %s: replaced %d ms after its loss", count, is_leader_lost ? "the leader" : "a follower", static_cast<int>(took.count()));
+      cr_expect(took < Span(is_leader_lost ? 3000 : 1500), "%d", static_cast<int>(took.count()));
+    }
+  cr_expect(silent_span(Span(4000), Span(700)) == Span(1050) && silent_span(Span(6000), Span(700)) == Span(1500) && silent_span(Span(60000), Span(700)) == Span(3000));
+}
+
+// A member that leaves goes only after its place is taken; whoever is lost in that moment costs nothing.
+Test(membership, whoever_leaves_in_order_goes_after_its_place_is_taken) {
+  for (const std::size_t count : {std::size_t{3}, std::size_t{5}})
+    for (const bool is_leader : {false, true})
+      for (int other = 0; other < 2; ++other) {
+        Cluster cluster(count);
+        start_core(cluster);
+        cr_assert(acknowledges(cluster, 5, "five"));
+        const std::string leaver = is_leader ? cluster.leader() : running(cluster).front();
+        const Moment from = cluster.now();
+        cluster.leave(leaver);
+        cr_assert(cluster.run_until([&] { return !cluster.at(leaver).agreement; }, 3000ms));
+        const Span took = span_between(from, cluster.now());
+        cr_log_info("of %zu, %s: left after %d ms", count, is_leader ? "the leader" : "a follower", static_cast<int>(took.count()));
+        cr_expect(took < Span(500));
+        const std::vector<std::string> next = running(cluster, leaver);
+        cluster.wipe(other ? next.back() : next.front());
+        if (count == 5) cluster.wipe(other ? next.front() : next.back());
+        cr_expect(has_it(cluster, "five"), "of %zu, leader %d, other %d", count, is_leader, other);
+        cr_expect(acknowledges(cluster, 6, "six"));
+      }
+}
+
+Test(membership, without_a_learner_nobody_is_waited_for) {
+  Cluster cluster(3);
+  cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+  for (const std::string& leaver : {running(cluster).front(), cluster.leader()}) {
+    cluster.leave(leaver);
+    cluster.run(150ms);
+    cr_expect(!cluster.at(leaver).agreement);
+    cluster.start(leaver);
+    cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+    cluster.run(1000ms);
+  }
+}
+
+// An acknowledged change that only the leaver and a member lost meanwhile held: the leaver stays until a majority has it.
+Test(membership, the_only_holder_of_a_change_does_not_leave_with_it) {
+  Cluster cluster(3);
+  start_core(cluster);
+  const std::string leader = cluster.leader();
+  std::vector<std::string> others = running(cluster, leader);
+  cluster.cut(others[0]);
+  cluster.cut(spare);
+  cr_assert(acknowledges(cluster, 7, "seven"));
+  cluster.wipe(others[1]);
+  cluster.heal();
+  cluster.start(others[1]);
+  cluster.leave(leader);
+  cluster.run_until([&] { return !cluster.at(leader).agreement; }, 3000ms);
+  cr_expect(has_it(cluster, "seven"));
+}
+
+Test(membership, both_may_leave_one_after_the_other_and_founders_may_all_go) {
+  Cluster cluster(3);
+  cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+  cr_assert(acknowledges(cluster, 3, "three"));
+  int place = 20;
+  for (const std::string& founder : cluster.founders()) {
+    cluster.start("10.0.0." + std::to_string(++place) + ":7");
+    cluster.run(600ms);
+    cluster.leave(founder);
+    cr_assert(cluster.run_until([&] { return !cluster.at(founder).agreement; }, 3000ms));
+  }
+  cr_expect(has_it(cluster, "three"));
+  // All first contacts are dead from here on: whoever comes back knows the members from its own disk.
+  std::vector<std::string> all;
+  for (place = 21; place <= 23; ++place) all.push_back("10.0.0." + std::to_string(place) + ":7");
+  for (const std::string& address : all) cluster.stop(address);
+  cluster.run(3000ms);
+  for (const std::string& address : all) cluster.start(address);
+  cr_expect(has_it(cluster, "three"));
+  cr_expect(acknowledges(cluster, 4, "four"));
+}
+
+Test(membership, a_member_that_moves_with_its_disk_is_found_again) {
+  for (const bool is_leader : {false, true}) {
+    Cluster cluster(3);
+    cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+    cr_assert(acknowledges(cluster, 3, "three"));
+    const std::string mover = is_leader ? cluster.leader() : running(cluster).front();
+    const MemberId id = cluster.at(mover).disk.self;
+    cluster.move(mover, "10.0.0.30:7");
+    cr_assert(cluster.run_until([&] { return is_member_address(cluster, "10.0.0.30:7"); }));
+    cr_expect(cluster.at("10.0.0.30:7").disk.self == id);
+    cluster.stop(running(cluster, mover).front());
+    cr_expect(acknowledges(cluster, 4, "four"));
+  }
+}
+
+// Changes follow each other without a pause, and yet the members change.
+Test(membership, changes_without_a_pause_do_not_hold_up_a_replacement) {
+  Cluster cluster(3);
+  cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+  const std::string leader = cluster.leader(), lost = running(cluster).front();
+  std::int64_t version = 10;
+  const auto storm = [&](Span span) {
+    for (const Moment end = cluster.now() + span; cluster.now() < end; cluster.run(5ms))
+      for (int order = 0; order < 2; ++order) cluster.propose(++version, "body " + std::to_string(version));
+  };
+  cluster.stop(lost);
+  storm(500ms);
+  cluster.start(spare);
+  storm(1500ms);
+  cr_expect(cluster.leader() == leader);
+  cr_expect(is_member_address(cluster, spare) || cluster.at(leader).agreement->committed()->former.size() > 0);
+  storm(500ms);
+  cr_expect(cluster.run_until([&] { return is_member_address(cluster, spare) && !is_member_address(cluster, lost); }, 100ms));
+}
+
+// A follower hears a leader that no majority answers any more: nobody may rely on either.
+Test(membership, a_leader_that_is_not_answered_confirms_nothing_through_its_followers) {
+  Cluster cluster(3);
+  cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+  cluster.run(500ms);
+  const std::string leader = cluster.leader();
+  for (const std::string& address : cluster.founders()) cluster.cut_way(address, leader);
+  const Moment from = cluster.now();
+  bool is_relied_on = true;
+  while (is_relied_on && cluster.now() - from < Span(4000)) {
+    cluster.run(5ms);
+    is_relied_on = false;
+    for (const std::string& address : cluster.founders()) {
+      const Agreement& agreement = *cluster.at(address).agreement;
+      is_relied_on = is_relied_on || (agreement.leader_address() == leader && agreement.is_confirmed(cluster.now()));
+    }
+  }
+  cr_expect(cluster.now() - from <= Span(1450), "%d", static_cast<int>(span_between(from, cluster.now()).count()));
+}
