--- /dev/null
+++ b/src/programs/founding.h
@@ -0,0 +1,16 @@
+#pragma once
+// What a registry begins with: its record, a core founded anew, or a fresh id that asks to join.
+#include <functional>
+#include <optional>
+
+#include "state/startup.h"
+#include "state/store.h"
+
+namespace saddlewing {
+
+// A store of an unknown format, or one that cannot be read, is logged once and left alone: `wait` is called until
+// the store can be served, or until it says false. Then there is nothing to begin with. `fresh` is taken by whoever
+// neither has a record nor founds.
+std::optional<Durable> load_or_found(const Startup& startup, const Store& store, MemberId fresh, const std::function<bool()>& wait);
+
+}  // namespace saddlewing
--- a/src/programs/registry_program.cpp
+++ b/src/programs/registry_program.cpp
@@ -2,10 +2,11 @@
 #include <glog/logging.h>
 #include <unistd.h>
 
-#include <algorithm>
+#include <optional>
 #include <random>
 
 #include "programs/core.h"
+#include "programs/founding.h"
 #include "programs/programs.h"
 #include "programs/signals.h"
 
@@ -18,39 +19,6 @@
   return drawn ? drawn : 1;
 }
 
-// Of a founding member, from its address alone, so that all founders name each other alike.
-MemberId founder_id(const std::string& address) {
-  std::uint64_t hash = 14695981039346656037ull;
-  for (const char letter : address) hash = (hash ^ static_cast<unsigned char>(letter)) * 1099511628211ull;
-  return {hash | 1};
-}
-
-Durable found_or_fresh(const Startup& startup, const Store& store) {
-  Durable durable;
-  Fault why;
-  const Store::Found found = store.load(durable, why);
-  if (found == Store::Found::record) return durable;
-  if (found == Store::Found::damaged) LOG(ERROR) << "disk: store damaged, treated as lost: " << why.text();
-  auto entry = std::make_shared<Entry>();
-  const std::string self = Address{startup.ip_address, startup.inner_port}.text();
-  for (const Address& contact : startup.contacts) {
-    const std::string address = Address{contact.host, startup.inner_port}.text();
-    entry->members.push_back({founder_id(address), address});
-  }
-  const bool is_founder = std::any_of(entry->members.begin(), entry->members.end(), [&](const Member& m) { return m.address == self; });
-  durable = {};
-  if (startup.is_first_run && is_founder && found == Store::Found::nothing) {
-    durable.self = founder_id(self);
-    LOG(INFO) << "agree: founds a core of " << entry->members.size();
-  } else {
-    entry->members.clear();
-    durable.self = {draw_number()};
-    LOG(INFO) << "agree: asks to join";
-  }
-  durable.entry = std::move(entry);
-  return durable;
-}
-
 }  // namespace
 
 int run_registry(const std::string& startup_path) {
@@ -61,7 +29,19 @@
   }
   Signals signals;
   Store store(startup.data_folder);
-  auto core = std::make_unique<Core>(startup, found_or_fresh(startup, store), LifeId{draw_number()});
+  bool has_waited = false;
+  const auto wait = [&] {
+    has_waited = true;
+    signals.wait(1000);
+    return !signals.is_ending();
+  };
+  std::optional<Durable> durable = load_or_found(startup, store, MemberId{draw_number()}, wait);
+  if (!durable) {
+    LOG(INFO) << "registry: ended";
+    return 0;
+  }
+  if (Startup changed; has_waited && !read_startup(startup_path, true, changed)) startup = std::move(changed);
+  auto core = std::make_unique<Core>(startup, std::move(*durable), LifeId{draw_number()});
   Desk desk(startup, core->events());
   Lookout lookout(startup, core->events());
   Vault vault(store, core->events());
--- a/src/programs/signals.h
+++ b/src/programs/signals.h
@@ -32,6 +32,7 @@
     pollfd waiting{own_.descriptor(), POLLIN, 0};
     if (::poll(&waiting, 1, milliseconds) > 0) own_.clear();
   }
+  bool is_ending() const { return should_stop_; }
   // Until SIGTERM; a startup read again goes to `take`, a wrong one is logged and the old one stays.
   void serve(const std::string& path, bool is_registry, const std::function<void(const Startup&)>& take) {
     should_reload(path);
