Store: a slot is emptied by its length and its seal written at its place

Only operations that the store already used, or that set a file's length, are asked of the system now; no file is opened for appending or cut by opening it.

--- a/src/state/disk.cpp
+++ b/src/state/disk.cpp
@@ -88,8 +88,8 @@
 }  // namespace
 
 int Disk::clear(const std::string& path) {
-  const Descriptor file(::open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644));
-  return file.is_open() ? 0 : errno;
+  const Descriptor file(::open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0644));
+  return file.is_open() && ::ftruncate(file.number(), 0) == 0 ? 0 : errno;
 }
 
 int Disk::write_image(const std::string& path, const std::string& record) {
@@ -123,10 +123,10 @@
   return code;
 }
 
-int Disk::append(const std::string& path, const std::string& bytes) {
-  const Descriptor file(::open(path.c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
+int Disk::write(const std::string& path, std::uint64_t offset, const std::string& bytes) {
+  const Descriptor file(::open(path.c_str(), O_WRONLY | O_CLOEXEC));
   if (!file.is_open()) return errno;
-  const ssize_t written = ::write(file.number(), bytes.data(), bytes.size());
+  const ssize_t written = ::pwrite(file.number(), bytes.data(), bytes.size(), static_cast<off_t>(offset));
   if (written < 0) return errno;
   return static_cast<std::size_t>(written) == bytes.size() ? 0 : ENOSPC;
 }
--- a/src/state/disk.h
+++ b/src/state/disk.h
@@ -14,7 +14,7 @@
   virtual int clear(const std::string& path);
   // Fills an empty file with an LMDB image that holds `record`. Nothing is synced.
   virtual int write_image(const std::string& path, const std::string& record);
-  virtual int append(const std::string& path, const std::string& bytes);
+  virtual int write(const std::string& path, std::uint64_t offset, const std::string& bytes);
   virtual int sync(const std::string& path);
   virtual int sync_folder(const std::string& folder);
   virtual int remove(const std::string& path);
--- a/src/state/store.cpp
+++ b/src/state/store.cpp
@@ -219,7 +219,7 @@
   Disk::Contents image;
   if (const int code = disk_->inspect(path, 0, image)) return disk_fault("checksum of the store", code);
   const std::string seal = write_seal({record_format, serial, image.size, image.digest});
-  if (const int code = disk_->append(path, seal)) return disk_fault("seal of the store", code);
+  if (const int code = disk_->write(path, image.size, seal)) return disk_fault("seal of the store", code);
   if (const int code = disk_->sync(path)) return disk_fault("sync of the store", code);
   if (is_folder_synced_) return {};
   return disk_fault("sync of the folder", disk_->sync_folder(folder_));
--- a/tests/disk_model.h
+++ b/tests/disk_model.h
@@ -112,12 +112,12 @@
       if (is_half) write_file(path, kept);
     });
   }
-  int append(const std::string& path, const std::string& bytes) override {
+  int write(const std::string& path, std::uint64_t offset, const std::string& bytes) override {
     const std::string before = read_file(path);
-    return run([&] { return Disk::append(path, bytes); }, [&](bool is_half) {
+    return run([&] { return Disk::write(path, offset, bytes); }, [&](bool is_half) {
       const std::string part = bytes.substr(0, is_half ? bytes.size() / 2 : bytes.size());
-      note(path, before.size(), part);
-      if (is_half) write_file(path, before + part);
+      note(path, offset, part);
+      if (is_half) write_file(path, before), Disk::write(path, offset, part);
     });
   }
   int sync(const std::string& path) override {
