--- a/src/coordination/errand.cpp
+++ b/src/coordination/errand.cpp
@@ -14,6 +14,8 @@
 constexpr Span hold_step{5};      // while every connection allowed is in use
 constexpr int most_missed = 4;    // askings that reached nobody, per part
 
+bool is_promise(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
+
 }  // namespace
 
 Errand::Errand(Ground& ground, TableSnapshot table, const Rule& rule, Moment began, Span time_left)
@@ -22,7 +24,10 @@
       prompt_(std::min(began + std::max(rule.target - answer_way, rule.target / 2), deadline_ - 1ms)), due_(deadline_),
       best_(static_cast<std::size_t>(std::max(1, rule.best_count))) {}
 
-void Errand::start(Moment now, bool is_again) {
+void Errand::start(Moment now) { begin(nullptr, now); }
+void Errand::start_again(const Errand& before, Moment now) { begin(&before, now); }
+
+void Errand::begin(const Errand* before, Moment now) {
   if (is_gathering()) {
     for (const ServiceIndex shard : rule_.shards) parts_.emplace_back().service = shard;
   } else {
@@ -34,10 +39,15 @@
     }
     parts_.emplace_back().service = chosen_.value_or(chosen);
   }
-  for (const Part& part : parts_) {
-    Budget& budget = ground_.budget(table_->configuration->services[part.service.value].name);
-    if (is_again) budget.count_extra(now);
+  for (Part& part : parts_) {
+    const std::string& name = table_->configuration->services[part.service.value].name;
+    Budget& budget = ground_.budget(name);
+    if (before) budget.count_extra(now);
     else budget.count_request(now);
+    if (!before) continue;
+    for (const Part& earlier : before->parts_)  // of a gathering the tries are each shard's own
+      if (!is_gathering() || before->table_->configuration->services[earlier.service.value].name == name)
+        part.before += earlier.before + earlier.sent - earlier.refused;
   }
   // A shard without any backend decides the outcome before anything runs.
   std::size_t empty = 0;
@@ -59,18 +69,19 @@
   if (is_open()) consider(now);
 }
 
-bool Errand::may_restart(Moment now) {
+bool Errand::may_restart(std::size_t turned_away, Moment now) {
   if (!is_open() || now >= deadline_ - way_back) return false;
   const bool is_at_work = std::any_of(parts_.begin(), parts_.end(), [](const Part& part) { return part.active > 1; });
   if (!rule_.is_harmless && (has_run_ || is_at_work)) return false;  // the asking that was turned away is still counted as active
   const double reserve = ground_.reserve(now);
   return std::all_of(parts_.begin(), parts_.end(), [&](const Part& part) {
-    return ground_.budget(table_->configuration->services[part.service.value].name).allows_extra(now, reserve);
+    const int may_have_run = part.before + part.sent - part.refused - (&part == &parts_[turned_away]);
+    return may_have_run < rule_.tries && ground_.budget(table_->configuration->services[part.service.value].name).allows_extra(now, reserve);
   });
 }
 
 bool Errand::may_ask_again(const Part& part) const {
-  return !part.is_done && !part.is_failed && part.sent < rule_.tries && part.missed < most_missed;
+  return !part.is_done && !part.is_failed && part.before + part.sent < rule_.tries && part.missed < most_missed;
 }
 
 void Errand::ask(std::size_t index, bool is_further, Moment now) {
@@ -126,6 +137,7 @@
   if (part.is_done || part.is_failed) return;
   const bool is_success = outcome.status >= 200 && outcome.status < 300 && !outcome.is_not_run;
   if (!outcome.is_not_run) has_run_ = true;
+  else ++part.refused;
   if (is_success) {
     ground_.pace(rule_).see(static_cast<double>(took.count()));
     weigh(part, took);
@@ -136,6 +148,11 @@
     best_.add(outcome.body);
     return consider(now);
   }
+  // Passed on, its status would promise the client that it has not run and never will.
+  if (!rule_.is_harmless && !outcome.is_not_run && is_promise(outcome.status)) {
+    fail_part(part, Kind::broke_off, now);
+    return consider(now);
+  }
   if (!is_gathering() && !outcome.is_not_run) {
     // A client's own mistake (4xx) is the same everywhere; only a backend's failure is worth another.
     if (outcome.status < 500 || !rule_.is_harmless)
--- a/src/coordination/errand.h
+++ b/src/coordination/errand.h
@@ -50,9 +50,16 @@
 
   Errand(Ground& ground, TableSnapshot table, const Rule& rule, Moment began, Span time_left);
 
-  void start(Moment now, bool is_again = false);  // is_again: its requests were counted before, these are further ones
-  // Whether it may end here and a new one begin in its place: nothing of a risky one has run, and the allowance covers it.
-  bool may_restart(Moment now);
+  void start(Moment now);
+  // In the place of `before`: its requests were counted there, these are further ones; its askings count for the tries.
+  void start_again(const Errand& before, Moment now);
+  // Whether it may end here, with `turned_away`, the part just turned away, and a new one begin in its place: nothing of a
+  // risky one has run, and the tries and the allowance cover it.
+  bool may_restart(std::size_t turned_away, Moment now);
+  void give_way(std::size_t turned_away) {
+    ++parts_[turned_away].refused;
+    state_ = State::closed;
+  }
   void on_due(Moment now) override;
   void on_turn(Moment now);  // the parts that wait are asked, as far as there is room
   void lose_turn(Moment now) {  // it looks again by itself
@@ -82,12 +89,15 @@
     int active = 0;
     int sent = 0;        // askings that may have reached a backend
     int missed = 0;      // askings that reached nobody
+    int refused = 0;     // askings whose backend said that it did not run them
+    int before = 0;      // askings of errands in whose place this one began that may have run
     bool is_done = false, is_failed = false;
     bool is_aided = false;  // another broker is at it
     Moment asked{};
     double base_ms = 0, span_ms = 0;  // what to expect of the asking under way
     std::string seal;
   };
+  void begin(const Errand* before, Moment now);
   void ask(std::size_t index, bool is_further, Moment now);
   void fail_part(Part& part, Kind kind, Moment now);
   bool may_ask_again(const Part& part) const;
--- a/src/coordination/errand_aid.cpp
+++ b/src/coordination/errand_aid.cpp
@@ -21,6 +21,7 @@
 
 // No frame in time: the parts are asked directly, if the allowance covers all of them.
 void Errand::give_up_aid(Moment now) {
+  if (rule_.tries < 2) return;  // nobody else may be asked
   const double reserve = ground_.reserve(now);
   for (const Part& part : parts_) {
     if (!part.is_aided) continue;
--- a/src/programs/envoy.cpp
+++ b/src/programs/envoy.cpp
@@ -92,7 +92,8 @@
   std::string request = std::string(row.method) + " " + std::string(row.path) + " HTTP/1.1\r\nHost: " + address.text() + "\r\n" + fields;
   request += "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   errand.caller = std::make_unique<Caller>(poller_, errand, address, 16384, 65536);
-  if (!errand.caller->ask(request, false)) finish(errand, 0);
+  const Moment latest = errand.order.node_order.empty() ? errand.order.until : Moment::max();
+  if (!errand.caller->ask(request, false, {}, latest)) finish(errand, 0);
 }
 
 bool Envoy::take(Errand& errand, WireMessage&& message) {
--- a/src/programs/ring_traffic.cpp
+++ b/src/programs/ring_traffic.cpp
@@ -70,17 +70,17 @@
 
 // A node turned it away, and the ring has changed since it left: it starts again by the newest view, if its tries and the
 // allowance for further ones suffice. Of what may run once nothing may have run.
-bool Traffic::restart(const TripPointer& trip, Moment now) {
+bool Traffic::restart(const TripPointer& trip, std::size_t part, Moment now) {
   constexpr int most_rounds = 3;
   if (!trip->ring || !gate_.view() || gate_.view()->mark <= trip->ring->mark || trip->rounds + 1 >= most_rounds) return false;
-  if (!trip->errand || !trip->errand->is_open() || !trip->errand->may_restart(now)) return false;
+  if (!trip->errand || !trip->errand->is_open() || !trip->errand->may_restart(part, now)) return false;
   Visit* visit = server_.find(trip->visit);
   if (!visit) return false;
-  trip->errand->abandon();
+  trip->errand->give_way(part);
   by_visit_.erase(trip->visit);
   end_trip(trip->asker.get());
   visit->body() = std::move(trip->body);
-  begin(*visit, trip->rounds + 1, now);
+  begin(*visit, trip.get(), now);
   return true;
 }
 
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -165,9 +165,9 @@
   server_.set_limits({limits.most_header_bytes, limits.most_body_bytes, limits.header_wait, limits.quiet});
 }
 
-void Traffic::on_request(Visit& visit, Moment now) { begin(visit, 0, now); }
+void Traffic::on_request(Visit& visit, Moment now) { begin(visit, nullptr, now); }
 
-void Traffic::begin(Visit& visit, int rounds, Moment now) {
+void Traffic::begin(Visit& visit, const Trip* before, Moment now) {
   if (!view_->is_ready || !table_) {
     Reply reply = reply_of(Kind::not_ready);
     reply.fields += "Retry-After: 0.3\r\n";
@@ -176,7 +176,7 @@
   const auto& request = visit.request();
   const Rule* rule = table_->configuration->match(request.get("Host", ""), request.getURI());
   if (!rule) return visit.answer(reply_of(Kind::no_rule), now);
-  if (rounds == 0) metrics().add(Metric::requests);
+  if (!before) metrics().add(Metric::requests);
   if (rule->rank >= alerts_.refuse_from()) {
     metrics().add(Metric::refusals);
     Reply reply = reply_of(Kind::overloaded);
@@ -187,7 +187,7 @@
   trip->try_id = request.get(field::try_id, "");
   if (trip->try_id.empty()) return visit.answer(reply_of(Kind::malformed, "a request needs its Try-Id"), now);
   std::optional<ServiceIndex> placed;
-  trip->rounds = rounds;
+  if (before) trip->rounds = before->rounds + 1, trip->connections = before->connections;
   if (is_of_ring(*rule) && !place(visit, *rule, *trip, placed, now)) return;
   trip->method = request.getMethod();
   trip->head_start = start_head(request, visit.body().size());
@@ -199,7 +199,8 @@
   trip->asker = std::move(errand);
   trips_[trip->errand] = trip;
   by_visit_[visit.id()] = trip->errand;
-  trip->errand->start(now, rounds > 0);
+  if (before) trip->errand->start_again(*before->errand, now);
+  else trip->errand->start(now);
   arrange(*trip);
 }
 
@@ -249,9 +250,10 @@
   if (trip == trips_.end() || pointer == backends_.end() || pointer->second.get() != &backend) return false;
   metrics().add(Metric::askings);
   auto& idle = idle_[&backend];
-  while (!idle.empty()) {
-    Wire* wire = idle.back();
-    idle.pop_back();
+  for (std::size_t at = idle.size(); at-- > 0;) {
+    Wire* wire = idle[at];
+    if (std::ranges::count(trip->second->connections, wire->serial())) continue;
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
     if (wire->ask(trip->second, part, now)) return true;
     bury(wire);
   }
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -40,6 +40,7 @@
   bool is_heavy = false;  // as its last part was asked, see coordination/bulkhead.h
   Moment began{};
   Span target{0};
+  std::vector<std::uint64_t> connections;  // asked over, each once: of a surplus answer there nobody could tell which asking it is to
   std::string method, try_id, head_start, body;  // head_start: the request's head but for what differs by backend
   void on_due(Moment now) override;
 };
@@ -53,6 +54,7 @@
   bool ask(TripPointer trip, std::size_t part, Moment now);
   bool is_ended() const { return caller_.state() == Caller::State::ended; }
   const Backend& backend() const { return *backend_; }
+  std::uint64_t serial() const { return serial_; }
   void end();
   void rest(Moment now, Span idle);  // idle until asked, or until the span is over
 
@@ -66,6 +68,7 @@
   void read_load(const Poco::Net::HTTPResponse& response, Moment now);
 
   Traffic& traffic_;
+  const std::uint64_t serial_;
   BackendPointer backend_;
   Caller caller_;
   TripPointer trip_;  // null while idle
@@ -135,9 +138,9 @@
     VisitId visit;
     void on_due(Moment now) override;
   };
-  void begin(Visit& visit, int rounds, Moment now);
+  void begin(Visit& visit, const Trip* before, Moment now);  // before: the trip that it starts anew
   bool is_of_ring(const Rule& rule) const;
-  bool restart(const TripPointer& trip, Moment now);
+  bool restart(const TripPointer& trip, std::size_t part, Moment now);
   bool place(Visit& visit, const Rule& rule, Trip& trip, std::optional<ServiceIndex>& service, Moment now);
   void take_ring(RingNews news, Moment now);
   void leave_place(const Trip& trip, Moment now);
@@ -214,6 +217,7 @@
   const LifeId life_;
   std::unordered_map<VisitId, Errand*> by_visit_;
   std::unordered_map<std::string, Span> idle_spans_;  // how long backends of a service keep an idle connection, as told last
+  std::uint64_t last_connection_ = 0;
   std::unordered_map<const Backend*, std::vector<Wire*>> idle_;
   std::unordered_map<Wire*, std::unique_ptr<Wire>> wires_;
   std::vector<std::unique_ptr<Wire>> graves_;
--- a/src/programs/wire.cpp
+++ b/src/programs/wire.cpp
@@ -29,7 +29,7 @@
 }  // namespace
 
 Wire::Wire(Traffic& traffic, BackendPointer backend)
-    : traffic_(traffic), backend_(std::move(backend)), caller_(traffic.poller_, *this, backend_->address, most_head, traffic.startup_.memory_bytes / 32) {
+    : traffic_(traffic), serial_(++traffic.last_connection_), backend_(std::move(backend)), caller_(traffic.poller_, *this, backend_->address, most_head, traffic.startup_.memory_bytes / 32) {
   ++backend_->connections;
 }
 
@@ -47,8 +47,11 @@
 }
 
 bool Wire::ask(TripPointer trip, std::size_t part, Moment now) {
+  // Of what may run once nothing may be lost on a connection that has ended meanwhile, as while this process stood still.
+  if (trip->errand && !trip->errand->rule().is_harmless && !caller_.is_quiet()) return false;
   const std::string head = traffic_.head_for(*trip, *backend_, now);
-  if (!caller_.ask(trip->body.empty() ? head : head + trip->body, trip->method == "HEAD", trip->try_id)) return false;
+  if (!caller_.ask(trip->body.empty() ? head : head + trip->body, trip->method == "HEAD", trip->try_id, trip->asker->deadline())) return false;
+  trip->connections.push_back(serial_);
   is_heavy_ = trip->is_heavy;
   if (is_heavy_) ++backend_->heavy_asked;
   else backend_->short_asked = now;
@@ -118,7 +121,10 @@
   outcome.seal = response.get(field::seal, "");
   read_load(response, now);
   const bool is_success = outcome.status >= 200 && outcome.status < 300;
-  const bool is_own = response.get(field::try_id, outcome.is_not_run ? trip_->try_id : "") == trip_->try_id;
+  // Without an id only a refusal is believed, and only where no earlier request can have left it behind. Behind a surplus
+  // answer no refusal is: what was passed over may have been to this request.
+  const bool is_own = response.get(field::try_id, outcome.is_not_run && caller.is_beyond_doubt() ? trip_->try_id : "") == trip_->try_id &&
+                      !(outcome.is_not_run && caller.has_passed_over());
   // A success without its seal, or an answer that does not say whose it is, is none.
   if (!is_own || (is_success && (outcome.seal.empty() || outcome.seal.find_first_of(", ") != std::string::npos || response.has("Content-Encoding")))) {
     caller.end();
@@ -149,7 +155,7 @@
   } else {
     rest(now, backend_->is_own || !backend_->is_scarce ? idle : std::min(idle, borrowed_idle));
   }
-  if (outcome.is_not_run && trip->ring && traffic_.restart(trip, now)) return;
+  if (outcome.is_not_run && trip->ring && traffic_.restart(trip, part, now)) return;
   trip->asker->take_outcome(part, std::move(outcome), took, now);
   traffic_.arrange(*trip);
   if (!traffic_.turns_.is_empty()) traffic_.serve_turns(turns_at_once, now);
--- a/src/transport/caller.cpp
+++ b/src/transport/caller.cpp
@@ -27,9 +27,19 @@
   end();
 }
 
-bool Caller::ask(const std::string& bytes, bool is_head, const std::string& try_id) {
+bool Caller::is_quiet() {
+  if (state_ != State::idle) return state_ == State::connecting;
+  char byte = 0;
+  const Transfer got = channel_.receive(&byte, 1);
+  return !got.is_closed && !got.count;
+}
+
+bool Caller::ask(const std::string& bytes, bool is_head, const std::string& try_id, Moment latest) {
   if (state_ == State::ended) return false;
   try_id_ = try_id;
+  latest_ = latest;
+  is_head_ = is_head;
+  ++asked_count_;
   reader_.reset();
   if (is_head) reader_.expect_no_body();
   out_ = bytes;
@@ -65,6 +75,7 @@
 
 void Caller::flush(Moment now) {
   while (sent_ < out_.size()) {
+    if (!has_sent_ && now > latest_) return fail(Kind::deadline_reached, now);
     const Transfer gone = channel_.send(out_.data() + sent_, out_.size() - sent_);
     if (gone.is_closed) return fail(Kind::broke_off, now);
     if (!gone.count) return poller_.change(channel_.socket(), Poller::read | Poller::write);
@@ -87,6 +98,12 @@
   return response.has(field::try_id) && response.get(field::try_id) != try_id_;
 }
 
+bool Caller::is_of_two() const {
+  const auto& response = reader_.response();
+  auto found = response.find(field::try_id);
+  return found != response.end() && ++found != response.end() && is_same_name(found->first, field::try_id);
+}
+
 void Caller::read(Moment now) {
   static thread_local char bytes[65536];
   for (;;) {
@@ -96,15 +113,14 @@
     if (state_ == State::idle) return fail(Kind::garbled, now);
     has_heard_ = true;
     in_.append(bytes, got.count);
-    const MessageReader::Step step = reader_.advance(in_);
-    if (step == MessageReader::Step::failed) return fail(Kind::garbled, now);
-    if (step == MessageReader::Step::done) {
-      if (!is_surplus()) break;
+    MessageReader::Step step;
+    while ((step = reader_.advance(in_)) == MessageReader::Step::done && is_surplus() && !is_of_two()) {  // its own may follow, in any pieces
       is_doubtful_ = true;
       reader_.reset();
-      if (!in_.empty() && reader_.advance(in_) == MessageReader::Step::done && !is_surplus()) break;
-      if (reader_.why() != Kind::none || (!in_.empty() && !reader_.has_head())) return fail(Kind::garbled, now);
+      if (is_head_) reader_.expect_no_body();
     }
+    if (step == MessageReader::Step::failed || (step == MessageReader::Step::done && is_of_two())) return fail(Kind::garbled, now);
+    if (step == MessageReader::Step::done) break;
     if (got.count < sizeof bytes) return;
   }
   is_asked_ = false;
--- a/src/transport/caller.h
+++ b/src/transport/caller.h
@@ -1,5 +1,6 @@
 #pragma once
 // The calling side of HTTP: one connection, one request at a time.
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -27,13 +28,19 @@
   Caller(Poller& poller, CallOwner& owner, const Address& address, std::size_t most_head, std::size_t most_body);
   ~Caller() override { end(); }
 
-  // False: the connection is gone. Outcomes with another Try-Id than `try_id` are surplus and are skipped.
-  bool ask(const std::string& bytes, bool is_head, const std::string& try_id = {});
+  // False: the connection is gone. Outcomes with another Try-Id than `try_id` are surplus and are skipped. After `latest`
+  // no first byte leaves any more, whatever the connection or the process was held up by.
+  bool ask(const std::string& bytes, bool is_head, const std::string& try_id = {}, Moment latest = Moment::max());
+  // Of an idle one: nothing has come that nobody has seen yet, neither its end nor bytes out of turn.
+  bool is_quiet();
   State state() const { return state_; }
   MessageReader& reader() { return reader_; }
   bool has_sent() const { return has_sent_; }      // any byte of the request left
   bool has_heard() const { return has_heard_; }    // any byte of the outcome came
   bool was_connected() const { return was_connected_; }
+  // Whether what came can only be to this request: none came before on this connection, nothing surplus was passed over.
+  bool is_beyond_doubt() const { return asked_count_ <= 1 && !is_doubtful_; }
+  bool has_passed_over() const { return is_doubtful_; }
   Moment connected_at() const { return connected_at_; }
   void end();
   void abort();  // ends it so that nothing of the request arrives later
@@ -42,6 +49,7 @@
 
  private:
   bool is_surplus() const;
+  bool is_of_two() const;  // its id stands there more than once, as where one answer was cut and another follows
   void read(Moment now);
   void flush(Moment now);
   void fail(Kind kind, Moment now);
@@ -53,8 +61,9 @@
   State state_ = State::connecting;
   std::string out_, in_, try_id_;
   std::size_t sent_ = 0;
-  Moment connected_at_{};
-  bool has_sent_ = false, has_heard_ = false, was_connected_ = false, is_asked_ = false, is_doubtful_ = false;
+  std::uint64_t asked_count_ = 0;
+  Moment connected_at_{}, latest_ = Moment::max();
+  bool has_sent_ = false, has_heard_ = false, was_connected_ = false, is_asked_ = false, is_doubtful_ = false, is_head_ = false;
 };
 
 }  // namespace saddlewing
--- a/tests/aid_test.cpp
+++ b/tests/aid_test.cpp
@@ -140,3 +140,14 @@
   cr_assert(stage.frames.size() == 1);
   cr_expect(stage.frames[0].failed.size() == 2 && stage.frames[0].failed[0].may_have_run);
 }
+
+// With a single try nobody else may be asked, so the frame is waited for.
+Test(errand, with_a_single_try_parts_stay_with_the_other_broker) {
+  Stage stage(gathered, 2, 1);
+  stage.aided_parts = {0, 1, 2, 3};
+  stage.errand->start(start);
+  stage.errand->on_due(start + 150ms);
+  cr_expect(stage.asked.empty() && stage.missed_aids == 0 && stage.answers == 0);
+  stage.errand->take_aided(frame({{0, "a"}, {1, "b"}, {2, "c"}, {3, "d"}}, {}, record('z')), Span(180), start + 180ms);
+  cr_expect(stage.status() == 200);
+}
--- a/tests/bulkhead_test.cpp
+++ b/tests/bulkhead_test.cpp
@@ -138,10 +138,10 @@
 Test(errand, may_start_anew_only_while_nothing_risky_has_run_and_the_allowance_covers_it) {
   Stage harmless(single), once(risky), poor(single);
   for (Stage* stage : {&harmless, &once, &poor}) stage->errand->start(start);
-  cr_expect(harmless.errand->may_restart(start + 10ms) && once.errand->may_restart(start + 10ms), "the asking turned away is all there is");
+  cr_expect(harmless.errand->may_restart(0, start + 10ms) && once.errand->may_restart(0, start + 10ms), "the asking turned away is all there is");
   poor.extra_reserve = 0;
-  cr_expect(!poor.errand->may_restart(start + 10ms), "no allowance");
-  cr_expect(!harmless.errand->may_restart(start + 990ms), "too late");
+  cr_expect(!poor.errand->may_restart(0, start + 10ms), "no allowance");
+  cr_expect(!harmless.errand->may_restart(0, start + 990ms), "too late");
   once.take(0, Stage::good("a"));
-  cr_expect(!once.errand->may_restart(start + 30ms), "it is over");
+  cr_expect(!once.errand->may_restart(0, start + 30ms), "it is over");
 }
--- a/tests/errand_test.cpp
+++ b/tests/errand_test.cpp
@@ -149,3 +149,38 @@
   stage.take(0, Stage::good("x"));
   cr_expect(stage.answers == 0);
 }
+
+// Begun anew as often as it may be, its askings that may have run are never more than its tries; refused ones don't count.
+Test(errand, begun_anew_it_keeps_to_the_tries_of_all_its_rounds) {
+  for (const char* rule : {single, gathered}) {
+    Stage stage(rule, 4, 3);
+    stage.errand->start(start);
+    stage.errand->on_due(start + 150ms);
+    const std::size_t asked = stage.asked.size();
+    cr_assert(asked == (rule == single ? 2 : 8), "each part was asked a second time");
+    cr_assert(stage.errand->may_restart(0, start + 151ms));
+    stage.errand->give_way(0);
+    Stage again(rule, 4, 3);
+    again.errand->start_again(*stage.errand, start + 152ms);
+    for (Moment now = start + 160ms; now < start + 900ms; now += 100ms) again.errand->on_due(now);
+    std::map<std::size_t, int> per_part;
+    for (const auto& item : stage.asked) ++per_part[item.part];
+    for (const auto& item : again.asked) ++per_part[item.part];
+    for (const auto& [part, count] : per_part) cr_expect(count - (part == 0) == 3, "part %zu: %d", part, count);
+    cr_expect(!again.errand->may_restart(1 % per_part.size(), start + 900ms) || rule == single, "its tries are used up");
+  }
+}
+
+// The backend's own 503 promises nothing unless it says that it has not run.
+Test(errand, a_status_that_would_promise_is_not_passed_on_for_a_risky_one_that_may_have_run) {
+  for (const int status : {408, 429, 503}) {
+    Stage once(risky), free(single);
+    once.errand->start(start);
+    once.take(0, Stage::failed(status, false));
+    cr_expect(once.status() == 502 && once.asked.size() == 1, "%d", status);
+    free.errand->start(start);
+    free.take(0, Stage::failed(status, false));
+    if (free.asked.size() == 2) free.take(0, Stage::failed(status, false));
+    cr_expect(free.status() == status, "what may be repeated needs no promise");
+  }
+}
--- /dev/null
+++ b/tests/exchange_stage.h
@@ -0,0 +1,296 @@
+#pragma once
+// A whole broker over loopback, between stand-in clients and stand-in backends that fail at a numbered byte of an
+// exchange. Every request that a backend read whole is recorded: by then it may have run.
+#include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "programs/traffic.h"
+
+namespace saddlewing::tests {
+
+enum class Trouble { none, reset, close, silence };
+
+// What befalls a request at the first backend that it reaches, or at each.
+struct Plan {
+  Trouble trouble = Trouble::none;
+  bool is_in_answer = false;   // else while the request is read
+  std::size_t point = 0;       // after so many bytes of it; beyond its end: after all of it
+  bool is_everywhere = false;
+  bool is_refused = false;     // answered as not run
+  std::string surplus = {};         // follows the answer at once
+  std::string late_surplus = {};    // goes out on this connection when the next request is there, before its answer
+};
+
+struct Run {
+  std::string backend, head, body;
+};
+
+struct Exchange {  // of one client: its requests over one connection, and what came
+  std::vector<std::string> requests;
+  std::size_t leaves_after = SIZE_MAX;  // bytes sent, then the client resets its connection
+  std::size_t reads_at_most = SIZE_MAX; // bytes of the answer, then it resets
+  int socket = -1;
+  std::size_t sent = 0;
+  std::string out, in;
+  bool is_over = false;
+  std::vector<int> statuses;
+  std::vector<std::string> bodies;
+  int status() const { return statuses.empty() ? 0 : statuses[0]; }
+};
+
+inline std::string value_of(const std::string& head, const std::string& name) {
+  const auto place = head.find("\r\n" + name + ": ");
+  if (place == std::string::npos) return {};
+  const auto start = place + name.size() + 4;
+  return head.substr(start, head.find("\r\n", start) - start);
+}
+
+// Bytes of the first whole message, or 0.
+inline std::size_t message_size(const std::string& bytes) {
+  const auto end = bytes.find("\r\n\r\n");
+  if (end == std::string::npos) return 0;
+  const std::string length = value_of(bytes.substr(0, end + 2), "Content-Length");
+  const std::size_t size = end + 4 + (length.empty() ? 0 : std::stoul(length));
+  return bytes.size() >= size ? size : 0;
+}
+
+inline std::string request_of(const std::string& method, const std::string& path, const std::string& try_id, const std::string& body = {}) {
+  return method + " " + path + " HTTP/1.1\r\nHost: h\r\nTry-Id: " + try_id + "\r\nTime-Left: 5000\r\n" +
+         (body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
+}
+
+inline std::string good_answer(const std::string& try_id, const std::string& backend) {
+  const std::string body = "to " + try_id + " by " + backend;
+  return "HTTP/1.1 200 OK\r\nTry-Id: " + try_id + "\r\nAnswer-Seal: seal-" + try_id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string not_run_answer(const std::string& try_id) {
+  return "HTTP/1.1 503 Busy\r\n" + (try_id.empty() ? "" : "Try-Id: " + try_id + "\r\n") + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+class BrokerStage {
+ public:
+  explicit BrokerStage(int backends) {
+    for (int number = 0; number < backends; ++number) open_backend("b" + std::to_string(number));
+    const std::string rule = R"("host":"h","service":"s","tries":2,"target_ms":100,"give_up_ms":)";
+    const std::string body = R"({"version":1,"services":[{"name":"s","health_path":"/","most_connections":100000}],"routes":[{"path_start":"/once/","sort":"risky",)" +
+                             rule + R"(400},{"path_start":"/free/","sort":"harmless",)" + rule + "3000}]}";
+    auto view = std::make_shared<View>();
+    const Fault found = read_configuration(body, view->configuration);
+    cr_assert(!found, "%s", found.text().c_str());
+    view->is_ready = true;
+    for (const Door& door : doors_) {
+      RosterEntry entry;
+      entry.id = door.name;
+      entry.service = "s";
+      entry.address = Address{"127.0.0.1", door.port}.text();
+      entry.locality = "z";
+      entry.phase = Phase::ready;
+      entry.status = Status::up;
+      entry.capacity = 1000;
+      view->backends.push_back(entry);
+    }
+    Startup startup;
+    startup.ip_address = "127.0.0.1";
+    startup.locality = "z";
+    startup.region = "r";
+    startup.localities = {{"z", "r"}};
+    startup.file_handles = 3000;
+    startup.retry_share = 50;  // the allowance is another test's matter
+    startup.grace = Span(750);
+    for (int port = 41000 + ::getpid() % 4000; !broker_ && port < 60000; port += 2) {
+      startup.front = {"127.0.0.1", port};
+      startup.ready_check = {"127.0.0.1", port + 1};
+      broker_ = std::make_unique<Traffic>(startup, LifeId{7});
+      if (broker_->open()) broker_.reset();
+    }
+    cr_assert(broker_ != nullptr);
+    port_ = startup.front.port;
+    broker_->show(view);
+    broker_->start();
+    for (int count = 0, status = 0; status != 200; ++count) {  // until the view is taken
+      cr_assert(count < 1000);
+      status = ask(request_of("GET", "/free/0", "warm-" + std::to_string(count))).status();
+    }
+  }
+  ~BrokerStage() {
+    broker_->leave();
+    broker_->join();
+    for (const auto& [socket, line] : lines_) ::close(socket);
+    for (const Door& door : doors_) ::close(door.socket);
+  }
+
+  // Plays all of them at once, until each has its answers or its connection has ended.
+  void play(std::vector<Exchange>& exchanges) {
+    for (Exchange& exchange : exchanges) begin(exchange);
+    const Moment until = Clock::now() + 20s;
+    while (std::ranges::any_of(exchanges, [](const Exchange& exchange) { return !exchange.is_over; })) {
+      cr_assert(Clock::now() < until, "no end");
+      turn(exchanges);
+    }
+  }
+  Exchange ask(const std::string& request) {
+    std::vector<Exchange> one(1);
+    one[0].requests = {request};
+    play(one);
+    return one[0];
+  }
+  // What is still on its way to the backends arrives.
+  void settle() {
+    std::vector<Exchange> none;
+    while (turn(none, 30)) {}
+  }
+  const std::vector<Run>& runs(const std::string& try_id) { return runs_[try_id]; }
+  const std::map<std::string, std::vector<Run>>& all_runs() const { return runs_; }
+  std::size_t backends_of(const std::string& try_id) {
+    std::set<std::string> names;
+    for (const Run& run : runs_[try_id]) names.insert(run.backend);
+    return names.size();
+  }
+
+  std::map<std::string, Plan> plans;  // by Try-Id
+
+ private:
+  struct Door {
+    std::string name;
+    int socket = -1, port = 0;
+  };
+  struct Line {  // a connection to a backend
+    std::string backend, late_surplus;
+    bool is_mute = false;
+  };
+
+  void open_backend(const std::string& name) {
+    Door door{name, ::socket(AF_INET, SOCK_STREAM, 0), 0};
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof at;
+    cr_assert(::bind(door.socket, reinterpret_cast<sockaddr*>(&at), size) == 0 && ::listen(door.socket, 1000) == 0);
+    ::getsockname(door.socket, reinterpret_cast<sockaddr*>(&at), &size);
+    door.port = ntohs(at.sin_port);
+    doors_.push_back(door);
+  }
+  void begin(Exchange& exchange) {
+    for (const std::string& request : exchange.requests) exchange.out += request;
+    exchange.out.resize(std::min(exchange.out.size(), exchange.leaves_after));
+    exchange.socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_port = htons(static_cast<std::uint16_t>(port_));
+    cr_assert(::connect(exchange.socket, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
+  }
+  static void drop(int socket, Trouble how) {
+    const linger now{1, 0};
+    if (how == Trouble::reset) ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    ::close(socket);
+  }
+
+  // One round over every socket. Whether anything was to be done within the wait.
+  bool turn(std::vector<Exchange>& exchanges, int wait_ms = 1000) {
+    std::vector<pollfd> waiting;
+    for (const Door& door : doors_) waiting.push_back({door.socket, POLLIN, 0});
+    for (const auto& [socket, line] : lines_) waiting.push_back({socket, POLLIN, 0});
+    std::map<int, Exchange*> clients;
+    for (Exchange& exchange : exchanges) {
+      if (exchange.is_over) continue;
+      clients[exchange.socket] = &exchange;
+      waiting.push_back({exchange.socket, static_cast<short>(POLLIN | (exchange.sent < exchange.out.size() || exchange.leaves_after != SIZE_MAX ? POLLOUT : 0)), 0});
+    }
+    if (::poll(waiting.data(), waiting.size(), wait_ms) <= 0) return false;
+    for (const pollfd& item : waiting) {
+      if (!item.revents) continue;
+      if (const auto door = std::ranges::find(doors_, item.fd, &Door::socket); door != doors_.end()) {
+        const int socket = ::accept(door->socket, nullptr, nullptr);
+        if (socket >= 0) lines_[socket].backend = door->name;
+      } else if (lines_.contains(item.fd)) {
+        serve(item.fd);
+      } else {
+        serve_client(*clients.at(item.fd), item.revents & POLLOUT);
+      }
+    }
+    return true;
+  }
+  void serve_client(Exchange& exchange, bool is_writable) {
+    if (is_writable && exchange.sent < exchange.out.size()) {
+      const auto count = ::send(exchange.socket, exchange.out.data() + exchange.sent, exchange.out.size() - exchange.sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (count > 0) exchange.sent += static_cast<std::size_t>(count);
+    }
+    if (exchange.sent == exchange.out.size() && exchange.leaves_after != SIZE_MAX) return end(exchange, Trouble::reset);
+    char bytes[65536];
+    const auto got = ::recv(exchange.socket, bytes, std::min(sizeof bytes, exchange.reads_at_most), MSG_DONTWAIT);
+    if (got < 0 && errno == EAGAIN) return;
+    if (got <= 0) return end(exchange, Trouble::close);
+    exchange.in.append(bytes, static_cast<std::size_t>(got));
+    if (exchange.in.size() >= exchange.reads_at_most) return end(exchange, Trouble::reset);
+    while (const std::size_t size = message_size(exchange.in)) {
+      const std::string message = exchange.in.substr(0, size);
+      exchange.in.erase(0, size);
+      exchange.statuses.push_back(std::stoi(message.substr(9, 3)));
+      exchange.bodies.push_back(message.substr(message.find("\r\n\r\n") + 4));
+    }
+    if (exchange.statuses.size() >= exchange.requests.size()) end(exchange, Trouble::close);
+  }
+  static void end(Exchange& exchange, Trouble how) {
+    exchange.is_over = true;
+    drop(exchange.socket, how);
+  }
+  void lose(int socket, Trouble how) {
+    lines_.erase(socket);
+    drop(socket, how);
+  }
+  static void send_all(int socket, const std::string& bytes) {
+    if (!bytes.empty()) (void)!::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+  void serve(int socket) {
+    Line& line = lines_[socket];
+    std::string bytes(65536, '\0');
+    const auto seen = ::recv(socket, bytes.data(), bytes.size(), MSG_PEEK | MSG_DONTWAIT);
+    if (seen < 0 && errno == EAGAIN) return;
+    if (seen <= 0) return lose(socket, Trouble::close);
+    bytes.resize(static_cast<std::size_t>(seen));
+    if (line.is_mute) {
+      (void)!::recv(socket, bytes.data(), bytes.size(), MSG_DONTWAIT);
+      return;
+    }
+    const std::size_t size = message_size(bytes);
+    if (!size) return;  // the rest is under way
+    const std::size_t end_of_head = bytes.find("\r\n\r\n") + 2;
+    const std::string try_id = value_of(bytes.substr(0, end_of_head), "Try-Id");
+    const auto planned = plans.find(try_id);
+    Plan plan = planned != plans.end() && (planned->second.is_everywhere || !reached_.contains(try_id)) ? planned->second : Plan{};
+    reached_.insert(try_id);
+    const bool fails_early = plan.trouble != Trouble::none && !plan.is_in_answer;
+    const std::size_t reads = fails_early ? std::min(plan.point, size) : size;
+    std::string read(reads, '\0');
+    if (reads) (void)!::recv(socket, read.data(), reads, MSG_DONTWAIT);
+    if (reads == size && !plan.is_refused) runs_[try_id].push_back({line.backend, read.substr(0, end_of_head), read.substr(end_of_head + 2)});
+    send_all(socket, std::exchange(line.late_surplus, plan.late_surplus));
+    if (!fails_early) {
+      std::string answer = plan.is_refused ? not_run_answer(try_id) : good_answer(try_id, line.backend);
+      if (plan.trouble != Trouble::none) answer.resize(std::min(answer.size(), plan.point));
+      send_all(socket, answer + plan.surplus);
+    }
+    if (plan.trouble == Trouble::silence) line.is_mute = true;
+    else if (plan.trouble != Trouble::none) lose(socket, plan.trouble);
+  }
+
+  std::vector<Door> doors_;
+  std::map<int, Line> lines_;
+  std::unique_ptr<Traffic> broker_;
+  int port_ = 0;
+  std::map<std::string, std::vector<Run>> runs_;
+  std::set<std::string> reached_;
+};
+
+}  // namespace saddlewing::tests
--- /dev/null
+++ b/tests/exchange_test.cpp
@@ -0,0 +1,320 @@
+// Every answer to its caller, every call once: exchanges that break at each of their bytes.
+#include "exchange_stage.h"
+
+#include "transport/server.h"
+
+using namespace saddlewing;
+using namespace saddlewing::tests;
+
+namespace {
+
+struct Case {
+  std::string try_id, request, body;
+  bool is_once = false;
+};
+
+Case case_of(const std::string& try_id, bool is_once) {
+  Case made{try_id, {}, is_once ? "what " + try_id + " wants" : "", is_once};
+  made.request = request_of(is_once ? "POST" : "GET", (is_once ? "/once/" : "/free/") + try_id + "?q=1", try_id, made.body);
+  return made;
+}
+
+// None to the wrong caller, none that may not be repeated twice, none changed, none on more backends than its tries.
+void check(BrokerStage& stage, const Case& played, const Exchange& came) {
+  const char* name = played.try_id.c_str();
+  const auto& runs = stage.runs(played.try_id);
+  for (const Run& run : runs) {
+    const std::string line = (played.is_once ? "POST /once/" : "GET /free/") + played.try_id + "?q=1 HTTP/1.1\r\n";
+    cr_expect(run.head.starts_with(line) && value_of(run.head, "Host") == "h" && run.body == played.body, "%s was changed", name);
+  }
+  cr_expect(!played.is_once || runs.size() <= 1, "%s ran %zu times", name, runs.size());
+  cr_expect(stage.backends_of(played.try_id) <= 2, "%s ran on %zu backends", name, stage.backends_of(played.try_id));
+  for (std::size_t index = 0; index < came.statuses.size(); ++index) {
+    const int status = came.statuses[index];
+    if (status == 200) cr_expect(came.bodies[index].starts_with("to " + played.try_id + " by "), "%s got %s", name, came.bodies[index].c_str());
+    else if (played.is_once && (status == 503 || status == 429 || status == 408 || status == 421)) cr_expect(runs.empty(), "%s was promised not to have run", name);
+  }
+  cr_expect(came.in.empty(), "%s got bytes that are no answer", name);
+}
+
+void play_cases(BrokerStage& stage, const std::vector<Case>& cases, std::vector<Exchange>& exchanges) {
+  exchanges.assign(cases.size(), {});
+  for (std::size_t index = 0; index < cases.size(); ++index) exchanges[index].requests = {cases[index].request};
+  stage.play(exchanges);
+  stage.settle();
+  for (std::size_t index = 0; index < cases.size(); ++index) check(stage, cases[index], exchanges[index]);
+}
+
+constexpr std::size_t most_points = 230;  // beyond the size of each request and answer
+
+}  // namespace
+
+Test(exchange, whatever_breaks_at_whichever_byte_of_a_request_or_answer_none_goes_astray) {
+  BrokerStage stage(3);
+  std::vector<Case> cases;
+  std::vector<Exchange> exchanges;
+  std::size_t served = 0, played = 0;
+  const auto play = [&] {
+    play_cases(stage, cases, exchanges);
+    for (std::size_t index = 0; index < cases.size(); ++index)
+      if (!cases[index].is_once) ++played, served += exchanges[index].status() == 200;
+    cases.clear();
+  };
+  for (const Trouble trouble : {Trouble::reset, Trouble::close, Trouble::silence})
+    for (const bool is_in_answer : {false, true})
+      for (std::size_t point = 0; point < most_points; ++point)
+        for (const bool is_once : {false, true}) {
+          const std::string try_id = std::to_string(static_cast<int>(trouble)) + (is_in_answer ? "a" : "r") + (is_once ? "o" : "f") + std::to_string(point);
+          cases.push_back(case_of(try_id, is_once));
+          stage.plans[try_id] = {trouble, is_in_answer, point};
+          if (cases.size() == 230) play();
+        }
+  if (!cases.empty()) play();
+  for (const auto& [try_id, runs] : stage.all_runs())
+    cr_expect(stage.plans.contains(try_id) || try_id.starts_with("warm-"), "nobody sent %s", try_id.c_str());
+  cr_expect(served * 100 >= played * 97, "of those that may be repeated %zu of %zu were served", served, played);
+}
+
+Test(exchange, no_try_runs_on_more_backends_than_its_route_allows) {
+  BrokerStage stage(4);
+  std::vector<Case> cases;
+  std::vector<Exchange> exchanges;
+  for (const Trouble trouble : {Trouble::reset, Trouble::close, Trouble::silence})
+    for (const std::size_t point : {0ul, 1ul, 40ul, 1000ul})
+      for (const bool is_once : {false, true}) {
+        const std::string try_id = "all" + std::to_string(cases.size());
+        cases.push_back(case_of(try_id, is_once));
+        stage.plans[try_id] = {trouble, true, point, true};
+      }
+  play_cases(stage, cases, exchanges);
+  for (std::size_t index = 0; index < cases.size(); ++index)
+    cr_expect(!cases[index].is_once || !stage.runs(cases[index].try_id).empty(), "it reached somebody");
+}
+
+// A second answer, one to another request, one of nobody's: none of them is taken for the next one's, nor for its own.
+Test(exchange, surplus_answers_reach_nobody) {
+  BrokerStage stage(2);
+  std::vector<Case> cases;
+  std::vector<Exchange> exchanges;
+  for (int round = 0; round < 6; ++round) {
+    for (int number = 0; number < 40; ++number) {
+      const std::string try_id = "s" + std::to_string(round) + "-" + std::to_string(number);
+      cases.push_back(case_of(try_id, number % 2));
+      const std::vector<std::string> kinds{good_answer(try_id, "twice"), good_answer("other", "twice"), not_run_answer(try_id), not_run_answer({}),
+                                           "HTTP/1.1 200 OK\r\nAnswer-Seal: x\r\nContent-Length: 2\r\n\r\nno", "no answer at all\r\n\r\n", "HTTP/1.1 200 OK\r\nTry-Id: cut"};
+      Plan& plan = stage.plans[try_id];
+      (round % 2 ? plan.surplus : plan.late_surplus) = kinds[static_cast<std::size_t>(number) % kinds.size()];
+    }
+    play_cases(stage, cases, exchanges);
+    cases.clear();
+  }
+}
+
+// The refusal says not whose it is, and came where the next one's answer was due.
+Test(exchange, a_refusal_without_an_id_on_a_connection_used_before_is_not_believed) {
+  BrokerStage stage(1);
+  stage.plans["first"].late_surplus = not_run_answer({});
+  cr_assert(stage.ask(case_of("first", false).request).status() == 200);
+  const Case once = case_of("second", true);
+  const Exchange came = stage.ask(once.request);
+  stage.settle();
+  check(stage, once, came);
+  cr_expect(came.status() == 502 && stage.runs("second").size() == 1);
+}
+
+// Turned away and asked again at the only backend: the refusal's second copy must not be taken for the new asking's answer.
+Test(exchange, a_request_is_never_asked_twice_over_one_connection) {
+  BrokerStage stage(1);
+  const Case once = case_of("again", true);
+  stage.plans["again"].is_refused = true;
+  stage.plans["again"].late_surplus = not_run_answer("again");
+  const Exchange came = stage.ask(once.request);
+  stage.settle();
+  check(stage, once, came);
+  cr_expect(came.status() == 200 && stage.runs("again").size() == 1, "%d", came.status());
+}
+
+// A surplus answer that was cut runs together with its own, and its copy looks like a refusal behind a surplus one.
+Test(exchange, behind_a_surplus_answer_no_refusal_is_believed) {
+  BrokerStage stage(1);
+  for (const char* surplus : {"HTTP/1.1 200 OK\r\nTry-Id: cut", "HTTP/1.1 200 OK\r\nTry-Id: other\r\nContent-Length: 0\r\n\r\n"}) {
+    const std::string name = std::string(surplus).size() < 40 ? "cut" : "whole";
+    stage.plans["before-" + name].late_surplus = surplus + (name == "whole" ? not_run_answer(name) : "");
+    stage.plans[name].surplus = not_run_answer(name);
+    cr_assert(stage.ask(case_of("before-" + name, false).request).status() == 200);
+    const Case once = case_of(name, true);
+    const Exchange came = stage.ask(once.request);
+    stage.settle();
+    check(stage, once, came);
+    cr_expect(came.status() == 502 && stage.runs(name).size() == 1, "%s: %d", name.c_str(), came.status());
+  }
+}
+
+// Clients that leave at each byte of their request or of the answer, beside others that take their places.
+Test(exchange, a_client_that_left_costs_no_other_its_answer) {
+  BrokerStage stage(2);
+  const std::size_t size = case_of("l-000", true).request.size();
+  for (const bool is_once : {false, true})
+    for (std::size_t from = 0; from <= size; from += 40) {
+      std::vector<Case> cases;
+      std::vector<Exchange> exchanges;
+      for (std::size_t point = from; point < from + 40; ++point) {
+        const std::string number = std::to_string(1000 + point).substr(1);
+        for (const char* kind : {"l-", "k-", "n-"}) {  // leaves while sending, while reading, not at all
+          cases.push_back(case_of((is_once ? "o" : "f") + std::string(kind) + number, is_once));
+          Exchange& exchange = exchanges.emplace_back();
+          exchange.requests = {cases.back().request};
+          if (kind[0] == 'l') exchange.leaves_after = point;
+          if (kind[0] == 'k') exchange.reads_at_most = point + 1;
+        }
+      }
+      stage.play(exchanges);
+      stage.settle();
+      for (std::size_t index = 0; index < cases.size(); ++index) {
+        const bool stayed = cases[index].try_id[1] == 'n';
+        if (!stayed) exchanges[index].in.clear();
+        check(stage, cases[index], exchanges[index]);
+        cr_expect(!stayed || exchanges[index].status() == 200, "%s got %d", cases[index].try_id.c_str(), exchanges[index].status());
+        const bool sent_whole = exchanges[index].leaves_after >= cases[index].request.size();
+        cr_expect(sent_whole || stage.runs(cases[index].try_id).empty(), "%s ran without having come whole", cases[index].try_id.c_str());
+      }
+    }
+}
+
+Test(exchange, pipelined_requests_get_their_own_answers_in_their_order) {
+  BrokerStage stage(2);
+  std::vector<Exchange> exchanges(30);
+  std::vector<std::vector<Case>> cases(exchanges.size());
+  for (std::size_t line = 0; line < exchanges.size(); ++line)
+    for (std::size_t number = 0; number < 8; ++number) {
+      cases[line].push_back(case_of("p" + std::to_string(line) + "-" + std::to_string(number), number % 3 == 1));
+      exchanges[line].requests.push_back(cases[line].back().request);
+      if (number == 2) stage.plans[cases[line].back().try_id] = {Trouble::reset, line % 2 == 0, line * 5};
+    }
+  stage.play(exchanges);
+  stage.settle();
+  for (std::size_t line = 0; line < exchanges.size(); ++line) {
+    cr_assert(exchanges[line].statuses.size() == 8, "line %zu: %zu answers", line, exchanges[line].statuses.size());
+    for (std::size_t number = 0; number < 8; ++number) {
+      Exchange one;
+      one.statuses = {exchanges[line].statuses[number]};
+      one.bodies = {exchanges[line].bodies[number]};
+      check(stage, cases[line][number], one);
+      cr_expect(one.status() == 200);
+    }
+  }
+}
+
+namespace {
+
+// A caller alone, with the far end of its connection in hand.
+class CallerStage : public CallOwner {
+ public:
+  CallerStage() {
+    for (int port = 45000 + ::getpid() % 4000; !listener_.is_open() && port < 60000; ++port)
+      if (!listener_.open({"127.0.0.1", port})) address_ = {"127.0.0.1", port};
+    caller = std::make_unique<Caller>(poller, *this, address_, 65536, 1 << 20);
+  }
+  void on_outcome(Caller&, Moment) override { ++outcomes; }
+  void on_breakdown(Caller&, Kind kind, Moment) override { breakdown = kind; }
+  void on_idle_end(Caller&) override { ++idle_ends; }
+  void admit() {
+    while (!far) far = listener_.admit();
+  }
+  void poll() { poller.poll(Span(50)); }  // sooner, as soon as there is something
+  void say(const std::string& bytes) {
+    cr_assert(far->send(bytes.data(), bytes.size()).count == bytes.size());
+    poll();
+  }
+  template <class Reached>
+  bool reaches(Reached reached) {
+    for (const Moment until = Clock::now() + 5s; !reached() && Clock::now() < until;) poll();
+    return reached();
+  }
+  std::string heard() {
+    char bytes[4096];
+    const Transfer got = far->receive(bytes, sizeof bytes);
+    return std::string(bytes, got.count);
+  }
+  // One exchange, so that the connection rests.
+  void greet() {
+    caller->ask("GET /1 HTTP/1.1\r\n\r\n", false, "1");
+    admit();
+    while (caller->state() == Caller::State::connecting || heard().empty()) poll();
+    say(good_answer("1", "b"));
+    cr_assert(outcomes == 1 && caller->state() == Caller::State::idle);
+  }
+
+  Poller poller;
+  std::unique_ptr<Caller> caller;
+  std::optional<Channel> far;
+  int outcomes = 0, idle_ends = 0;
+  Kind breakdown = Kind::none;
+
+ private:
+  Listener listener_;
+  Address address_;
+};
+
+}  // namespace
+
+Test(caller, its_own_answer_is_found_behind_surplus_ones_in_whichever_pieces_they_come) {
+  const std::string surplus = good_answer("1", "b") + good_answer("0", "b"), all = surplus + good_answer("2", "b");
+  for (std::size_t cut = 0; cut <= all.size(); ++cut) {
+    CallerStage stage;
+    stage.greet();
+    stage.caller->ask("GET /2 HTTP/1.1\r\n\r\n", false, "2");
+    if (cut) stage.say(all.substr(0, cut));
+    cr_expect(stage.breakdown == Kind::none, "cut at %zu", cut);
+    if (cut < all.size()) stage.say(all.substr(cut));
+    cr_assert(stage.reaches([&] { return stage.outcomes == 2; }), "cut at %zu", cut);
+    cr_expect(stage.outcomes == 2 && stage.caller->reader().response().get("Try-Id") == "2" && stage.caller->reader().body() == "to 2 by b", "cut at %zu", cut);
+    cr_expect(stage.caller->state() == Caller::State::ended, "it is not used again");
+  }
+}
+
+Test(caller, an_answer_to_head_has_no_body_behind_a_surplus_one_either) {
+  CallerStage stage;
+  stage.greet();
+  stage.caller->ask("HEAD /2 HTTP/1.1\r\n\r\n", true, "2");
+  stage.say("HTTP/1.1 200 OK\r\nTry-Id: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nTry-Id: 2\r\nContent-Length: 500\r\n\r\n");
+  cr_expect(stage.reaches([&] { return stage.outcomes == 2; }) && stage.breakdown == Kind::none);
+}
+
+// A cut answer and the next one run together: it is nobody's, and nothing more is waited for.
+Test(caller, an_answer_that_bears_two_ids_is_none) {
+  for (const char* first : {"1", "2"}) {
+    CallerStage stage;
+    stage.greet();
+    stage.caller->ask("GET /2 HTTP/1.1\r\n\r\n", false, "2");
+    stage.say("HTTP/1.1 200 OK\r\nTry-Id: " + std::string(first) + "\r\n" + good_answer("2", "b").substr(17));
+    cr_expect(stage.reaches([&] { return stage.breakdown == Kind::garbled; }) && stage.outcomes == 1);
+  }
+}
+
+// A process that stood still finds an end or stray bytes only when it looks.
+Test(caller, a_resting_connection_that_ended_or_spoke_is_not_quiet) {
+  for (const int kind : {0, 1, 2}) {
+    CallerStage stage;
+    stage.greet();
+    cr_expect(stage.caller->is_quiet());
+    if (kind == 0) stage.far->finish_sending();
+    if (kind == 1) cr_assert(stage.far->send("x", 1).count == 1);
+    if (kind == 2) {
+      stage.far->reset_at_close();
+      stage.far.reset();
+    }
+    bool is_quiet = true;
+    for (const Moment until = Clock::now() + 5s; is_quiet && Clock::now() < until;) is_quiet = stage.caller->is_quiet();
+    cr_expect(!is_quiet, "kind %d", kind);
+  }
+}
+
+// Held up while connecting, by a lost packet or by standing still: what may leave only until then does not leave later.
+Test(caller, nothing_leaves_after_its_latest_moment) {
+  CallerStage stage;
+  cr_assert(stage.caller->ask("POST /raise HTTP/1.1\r\n\r\n", false, {}, Clock::now() - 1ms));
+  stage.admit();
+  cr_assert(stage.reaches([&] { return stage.breakdown != Kind::none; }));
+  cr_expect(stage.breakdown == Kind::deadline_reached && !stage.caller->has_sent() && stage.heard().empty());
+}
--- a/tests/stage.h
+++ b/tests/stage.h
@@ -17,9 +17,9 @@
     std::size_t part;
     Backend* backend;
   };
-  explicit Stage(const std::string& rule, int copies = 2) {
+  explicit Stage(const std::string& rule, int copies = 2, int tries = 2) {
     const std::string body = R"({"version":1,"services":[{"name":"s0"},{"name":"s1"},{"name":"s2"},{"name":"s3"}],"routes":[{"host":"h",)"
-                             R"("path_start":"/a/","give_up_ms":1000,"target_ms":200,"tries":2,)" + rule + "}]}";
+                             R"("path_start":"/a/","give_up_ms":1000,"target_ms":200,"tries":)" + std::to_string(tries) + "," + rule + "}]}";
     ConfigurationSnapshot snapshot;
     const Fault found = read_configuration(body, snapshot);
     cr_assert(!found, "%s", found.text().c_str());
