An answer of a database is taken only whole: READY without DONE or ERROR is a surplus answer's

A READY in the place of the next answer was told to the client as done, without stamp or rows. Its two new faults in session.with_any_message_lost_... fail without the mend.

--- a/src/coordination/lane.cpp
+++ b/src/coordination/lane.cpp
@@ -94,11 +94,16 @@
   if (expected_.empty()) return fail(Verdict::garbled);  // nobody asked
   switch (message.kind) {
     case WireKind::row:
+      if (has_ended_) return fail(Verdict::garbled);
       outcome_.rows += wire(WireKind::row, {message.field(0)});
       if (outcome_.rows.size() > most_rows) fail(Verdict::garbled);
       return;
-    case WireKind::done: outcome_.text = message.field(0); return;
+    case WireKind::done:
+      if (std::exchange(has_ended_, true)) return fail(Verdict::garbled);
+      outcome_.text = message.field(0);
+      return;
     case WireKind::error:
+      if (std::exchange(has_ended_, true)) return fail(Verdict::garbled);
       outcome_.verdict = verdict_of(message.field(0));
       if (outcome_.verdict == Verdict::none) outcome_.verdict = Verdict::unknown;
       outcome_.text = message.field(1);
@@ -107,6 +112,8 @@
     case WireKind::ready: break;
     default: return fail(Verdict::garbled);
   }
+  // Only the greeting is answered by READY alone: another one is a surplus answer's.
+  if (!std::exchange(has_ended_, false) && expected_.front().what != Awaited::connect) return fail(Verdict::garbled);
   const std::string& state = message.field(0);
   if (state != "I" && state != "T" && state != "E") return fail(Verdict::garbled);
   wire_state_ = outcome_.state = state[0];
--- a/src/coordination/lane.h
+++ b/src/coordination/lane.h
@@ -103,6 +103,7 @@
   LaneOutcome outcome_;
   Verdict prepared_ = Verdict::none;
   char wire_state_ = 'I';
+  bool has_ended_ = false;  // DONE or ERROR came; READY is due, and nothing else
   Moment asked_{};
 };
 
--- a/tests/database_stage.h
+++ b/tests/database_stage.h
@@ -22,7 +22,8 @@
     std::vector<std::string> writes;  // of the transaction
     std::string in;
   };
-  enum class Fault { none, cut_before, cut_after, lose_answer };  // before the message is read, after it was, its answer
+  // Before the message is read, after it was, its answer; a surplus READY before it; its answer's end left out.
+  enum class Fault { none, cut_before, cut_after, lose_answer, surplus_ready, no_end };
 
   bool is_leader = true;
   std::uint64_t term = 1, number = 0;
@@ -41,10 +42,18 @@
       const std::string answer = handle(connection, message);
       if (is_struck && fault == Fault::cut_after) return is_cut = connection.is_gone = true, out;
       if (is_struck && fault == Fault::lose_answer) return is_cut = connection.is_gone = true, out + answer.substr(0, answer.size() / 2);
-      out += answer;
+      if (is_struck && fault == Fault::surplus_ready) out += ready(connection);
+      out += is_struck && fault == Fault::no_end ? without_end(answer) : answer;
     }
     return out;
   }
+  static std::string without_end(std::string answer) {
+    std::string kept;
+    for (WireMessage message; read_wire(answer, message) == WireStep::done;)
+      if (message.kind == WireKind::ready) kept += wire(WireKind::ready, {message.field(0), message.field(1)});
+      else if (message.kind == WireKind::row) kept += wire(WireKind::row, {message.field(0)});
+    return kept;
+  }
   std::string ready(const Connection& connection) const {
     return wire(WireKind::ready, {connection.has_failed ? "E" : connection.has_change ? "T" : "I", std::to_string(term) + "." + std::to_string(number)});
   }
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -107,7 +107,7 @@
 // Every message to the database in turn: the connection ends before it, after it, or within its answer.
 Test(session, with_any_message_lost_promises_hold_and_nothing_lands_twice) {
   const std::vector<std::string> script = {"SET colour red", "NAME w WRITE q", "RUN w a 1", "BEGIN", "RUN w b 1", "READ b", "SAVE", "READ c", "WRITE d 1"};
-  for (const auto fault : {StandIn::Fault::cut_before, StandIn::Fault::cut_after, StandIn::Fault::lose_answer})
+  for (const auto fault : {StandIn::Fault::cut_before, StandIn::Fault::cut_after, StandIn::Fault::lose_answer, StandIn::Fault::surplus_ready, StandIn::Fault::no_end})
     for (int strike = 1; strike < 24; ++strike) {
       SessionStage stage;
       SessionStage::Client client(stage);
@@ -118,7 +118,10 @@
       for (const std::string& text : script) {
         stage.say(client, text);
         cr_assert(client.last().kind == WireKind::ready, "%s unanswered, strike %d", text.c_str(), strike);
-        const std::string verdict = client.verdict();
+        const std::string verdict = client.verdict(), stamp = "stamp try" + std::to_string(stage.last_try);
+        const bool is_asked = text.starts_with("R") || text.starts_with("W") || text == "SAVE";
+        if (verdict.empty()) cr_expect(client.heard[client.heard.size() - 2].field(0) == (is_asked ? stamp : "-"), "%s without its stamp, strike %d", text.c_str(), strike);
+        if (verdict.empty() && text == "READ c") cr_expect(client.heard[0].field(0) == "row of READ c", "strike %d", strike);
         if (text == "RUN w a 1") told["a 1"] = verdict;
         if (text == "SAVE") told["b 1"] = verdict;
         if (text == "WRITE d 1") told["d 1"] = verdict;
