--- a/tests/exchange_stage.h
+++ b/tests/exchange_stage.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <semaphore>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,6 +39,7 @@
   std::vector<std::string> requests;
   std::size_t leaves_after = SIZE_MAX;  // bytes sent, then the client resets its connection
   std::size_t reads_at_most = SIZE_MAX; // bytes of the answer, then it resets
+  bool keeps_open = false;              // more requests may follow
   int socket = -1;
   std::size_t sent = 0;
   std::string out, in;
@@ -115,6 +117,11 @@
     }
     cr_assert(broker_ != nullptr);
     port_ = startup.front.port;
+    broker_->set_sender([this](AidOut) {
+      held_.release();
+      resumed_.acquire();
+      return true;
+    });
     broker_->show(view);
     broker_->start();
     for (int count = 0, status = 0; status != 200; ++count) {  // until the view is taken
@@ -131,7 +138,8 @@
 
   // Plays all of them at once, until each has its answers or its connection has ended.
   void play(std::vector<Exchange>& exchanges) {
-    for (Exchange& exchange : exchanges) begin(exchange);
+    for (Exchange& exchange : exchanges)
+      if (exchange.socket < 0) begin(exchange);
     const Moment until = Clock::now() + 20s;
     while (std::ranges::any_of(exchanges, [](const Exchange& exchange) { return !exchange.is_over; })) {
       cr_assert(Clock::now() < until, "no end");
@@ -144,6 +152,21 @@
     play(one);
     return one[0];
   }
+  // The broker's traffic stands still from here to `resume`, as a frozen process does: asked for aid, it waits to send.
+  void freeze() {
+    broker_->tell(AidIn{"nobody", {1, "GET", "aid", "", "", {"unknown"}, 1, 1000, 1}});
+    held_.acquire();
+  }
+  void resume() { resumed_.release(); }
+  void end_lines() {
+    while (!lines_.empty()) lose(lines_.begin()->first, Trouble::close);
+  }
+  static void add(Exchange& exchange, const std::string& request) {  // to one that was kept open
+    exchange.requests.push_back(request);
+    exchange.is_over = false;
+    cr_assert(::send(exchange.socket, request.data(), request.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(request.size()));
+  }
+
   // What is still on its way to the backends arrives.
   void settle() {
     std::vector<Exchange> none;
@@ -239,7 +262,9 @@
       exchange.statuses.push_back(std::stoi(message.substr(9, 3)));
       exchange.bodies.push_back(message.substr(message.find("\r\n\r\n") + 4));
     }
-    if (exchange.statuses.size() >= exchange.requests.size()) end(exchange, Trouble::close);
+    if (exchange.statuses.size() < exchange.requests.size()) return;
+    if (exchange.keeps_open) exchange.is_over = true;
+    else end(exchange, Trouble::close);
   }
   static void end(Exchange& exchange, Trouble how) {
     exchange.is_over = true;
@@ -287,6 +312,7 @@
 
   std::vector<Door> doors_;
   std::map<int, Line> lines_;
+  std::binary_semaphore held_{0}, resumed_{0};
   std::unique_ptr<Traffic> broker_;
   int port_ = 0;
   std::map<std::string, std::vector<Run>> runs_;
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -150,6 +150,30 @@
   }
 }
 
+// While the broker stood still its connections to the backend ended, and a request that may run once came. It is served
+// over a new one, whichever of the two is seen first.
+Test(exchange, a_frozen_broker_that_wakes_loses_no_request_on_an_ended_connection) {
+  BrokerStage stage(1);
+  for (int round = 0; round < 12; ++round) {
+    std::vector<Exchange> clients(8);
+    for (std::size_t number = 0; number < clients.size(); ++number) {
+      clients[number].keeps_open = true;
+      clients[number].requests = {case_of("w" + std::to_string(round * 8 + static_cast<int>(number)), false).request};
+    }
+    stage.play(clients);
+    stage.freeze();
+    stage.end_lines();
+    for (std::size_t number = 0; number < clients.size(); ++number)
+      stage.add(clients[number], case_of("z" + std::to_string(round * 8 + static_cast<int>(number)), true).request);
+    stage.resume();
+    stage.play(clients);
+    for (Exchange& client : clients) {
+      cr_expect(client.statuses.back() == 200, "round %d: %d", round, client.statuses.back());
+      ::close(client.socket);
+    }
+  }
+}
+
 // Clients that leave at each byte of their request or of the answer, beside others that take their places.
 Test(exchange, a_client_that_left_costs_no_other_its_answer) {
   BrokerStage stage(2);
