--- a/src/coordination/agreement.cpp
+++ b/src/coordination/agreement.cpp
@@ -1,6 +1,9 @@
 #include "coordination/agreement.h"
 
 #include <algorithm>
+#include <functional>
+
+#include "coordination/calls.h"
 
 namespace saddlewing {
 
@@ -148,6 +151,8 @@
     if (!waiting.sheet.empty()) {
       entry->sheets[waiting.sheet] = std::move(waiting.text);
     } else if (waiting.version > entry->version) {
+      std::string& orders = entry->sheets[orders_sheet];
+      orders = note_order(orders, waiting.version, digest_of(waiting.body));
       entry->version = waiting.version;
       entry->body = std::move(waiting.body);
     }
@@ -229,11 +234,14 @@
   return !leader_.empty() && now - heard_leader_ < options_.election;
 }
 
-bool Agreement::is_leased(Moment now) const {
-  if (role_ != Role::leader || !committed_ || committed_->term != durable_.term) return false;
-  std::size_t count = is_member(durable_.self);
-  for (const auto& [id, peer] : peers_) count += peer.leased != Moment{} && now - peer.leased < options_.election && is_member(id);
-  return count >= majority();
+Moment Agreement::lease_until() const {
+  if (role_ != Role::leader || !committed_ || committed_->term != durable_.term) return {};
+  std::vector<Moment> answered;  // when the beats left that members answered last, the newest first
+  if (is_member(durable_.self)) answered.push_back(Moment::max() - options_.election);
+  for (const auto& [id, peer] : peers_)
+    if (peer.leased != Moment{} && is_member(id)) answered.push_back(peer.leased);
+  std::sort(answered.begin(), answered.end(), std::greater<>());
+  return answered.size() < majority() ? Moment{} : answered[majority() - 1] + options_.election;
 }
 
 void Agreement::propose(Version version, std::string body, std::uint64_t token, Moment now) {
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -74,7 +74,8 @@
   // A quorum stands behind what this node holds committed.
   bool is_confirmed(Moment now) const;
   // Nobody else can lead before now: a majority answered a beat that left within the least election time-out.
-  bool is_leased(Moment now) const;
+  bool is_leased(Moment now) const { return now < lease_until(); }
+  Moment lease_until() const;  // the lease as it stands; Moment{} without one
   std::vector<std::string> known_addresses() const;
 
  private:
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -51,7 +51,7 @@
                  inner_addresses(startup.contacts, startup.inner_port), Clock::now()),
       registry_(registry_options(startup)), failover_(failover_options(startup)), ring_moves_(move_options(startup)), edge_judge_(edge_options(startup)),
       edge_rollout_(startup.rollout_wait), rollout_(startup.rollout_wait),
-      grants_(startup.extra_tries, startup.follow * 5, startup.retry_span), steps_(most_steps) {
+      grants_(startup.extra_tries, startup.follow * 5, startup.retry_span), calls_(life), steps_(most_steps) {
   born_ = Clock::now();
 }
 
@@ -93,14 +93,10 @@
     for (const auto& [address, spoke] : spokes_) handles.push_back(spoke->handle());
     const Span wait = std::clamp(std::chrono::ceil<Span>(std::min(agreement_.next_due(), registry_due_) - Clock::now()), Span(0), longest_wait);
     wait_links(handles, waker_, wait);
-    const Moment now = Clock::now();
-    for (CoreEvent& event : events_.take()) take_event(event, now);
+    for (CoreEvent& event : events_.take()) take_event(event, Clock::now());
     for (auto& contacts : contacts_.take()) agreement_.set_contacts(std::move(contacts));
-    for (int count = 0; count < 512; ++count) {
-      auto parcel = hub_.receive();
-      if (!parcel) break;
-      take_parcel(*parcel, now);
-    }
+    take_each(512, [&] { return hub_.receive(); }, Clock::now, [&](const Parcel& parcel, Moment came) { take_parcel(parcel, came); });
+    const Moment now = Clock::now();
     for (const auto& [address, spoke] : spokes_)
       while (spoke->receive()) {
       }  // nothing is said on this way back
@@ -113,6 +109,7 @@
     tend_ring(now);
     tend_edges(now);
     grants_.lead(agreement_.is_leader() && agreement_.is_confirmed(now), now);
+    envoy_->set_lease(agreement_.term(), agreement_.lease_until());
     tend_brokers(now);
     tend_rollout(now);
     handle_output(now);
@@ -123,15 +120,15 @@
       leave_by = now + call_wait;
     }
     // Calls at work are answered first, by whoever leads now.
-    if (should_leave_ && calls_.empty() && now > leave_by - call_wait + 200ms) break;
+    if (should_leave_ && calls_.is_empty() && now > leave_by - call_wait + 200ms) break;
   }
   has_left_ = true;
 }
 
 void Core::take_event(CoreEvent& event, Moment now) {
   if (auto* call = std::get_if<OperatorCall>(&event)) {
-    const std::uint64_t token = call->token;
-    add_call(std::move(*call), {}, token, now);
+    if (!call->is_read) steps_.note(call->version, "taken", now);
+    calls_.add(call->is_read, call->version, std::move(call->body), call->token, now + call_wait);
   } else if (const auto* saved = std::get_if<Saved>(&event)) {
     agreement_.finish_save(saved->serial, saved->is_saved, now);
   } else if (const auto* listed = std::get_if<Listed>(&event)) {
@@ -162,18 +159,16 @@
       }
       case FrameKind::forward: {
         Forward forward;
-        if ((is_good = decode(reader, forward)))
-          add_call({0, forward.is_read, forward.version, std::move(forward.body)}, head.from, forward.token, now);
+        if (!(is_good = decode(reader, forward))) break;
+        if (!forward.is_read) steps_.note(forward.version, "passed on", now);
+        calls_.add(std::move(forward), head.from, head.life, now + call_wait);
         break;
       }
       case FrameKind::forwarded: {
         Forwarded forwarded;
-        if ((is_good = decode(reader, forwarded))) {
-          const auto found = calls_.find(forwarded.token);
-          if (found == calls_.end() || found->second.sent_to != head.from) break;
-          if (forwarded.is_done) finish_call(forwarded.token, true, forwarded.body);
-          else found->second.sent_to.clear();  // it leads no more: whoever does is asked next
-        }
+        if (!(is_good = decode(reader, forwarded))) break;
+        // Not done: it leads no more, and whoever does is asked next.
+        if (const std::uint64_t token = calls_.take(forwarded, head.from); token && forwarded.is_done) finish_call(token, true, std::move(forwarded.body));
         break;
       }
       case FrameKind::follow: {
@@ -193,14 +188,12 @@
       }
       case FrameKind::edge_sums: {
         EdgeSums sums;
-        if ((is_good = decode(reader, sums)) && agreement_.is_leader())
-          for (const auto& [region, counts] : sums.regions)
-            if (!edge_judge_.add(region, counts, now)) metrics().add(Metric::edge_frames_dropped);
+        if ((is_good = decode(reader, sums))) take_edge_sums(sums, now);
         break;
       }
       case FrameKind::edge_view: {
         EdgeViewFrame frame;
-        if ((is_good = decode(reader, frame))) take_edge_view(frame, now);
+        if ((is_good = decode(reader, frame))) take_edge_view(head, frame, now);
         break;
       }
       case FrameKind::renewed: {
@@ -220,34 +213,30 @@
   LOG(WARNING) << "agree: frame dropped, foreign or damaged; " << foreign_ << " so far";
 }
 
-void Core::add_call(OperatorCall call, std::string origin, std::uint64_t origin_token, Moment now) {
-  const std::uint64_t token = ++last_call_;
-  if (!call.is_read) steps_.note(call.version, origin.empty() ? "taken" : "passed on", now);
-  calls_[token] = {std::move(call), std::move(origin), origin_token, {}, now + call_wait};
-}
-
 // Gives each waiting call to the leader of the moment.
 void Core::route_calls(Moment now) {
   std::vector<std::uint64_t> ended, settled;
-  for (auto& [token, pending] : calls_) {
+  for (auto& [token, call] : calls_.calls()) {
     const EntrySnapshot& committed = agreement_.committed();
-    if (!pending.call.is_read && committed && committed->version >= pending.call.version) {
+    const std::string& leader = agreement_.leader_address();
+    if (!call.is_read && committed && committed->version >= call.version) {
       settled.push_back(token);
-    } else if (now > pending.deadline) {
+      continue;
+    }
+    if (now > call.deadline) {
       ended.push_back(token);
-    } else if (!pending.sent_to.empty()) {
-      if (pending.sent_to != agreement_.leader_address() && !pending.call.is_read && !agreement_.leader_address().empty())
-        pending.sent_to.clear();
+      continue;
     }
-    if (!pending.sent_to.empty() || now > pending.deadline) continue;
+    if (!call.sent_to.empty() && call.sent_to != leader && !leader.empty()) call.sent_to.clear();
+    if (!call.sent_to.empty()) continue;
     if (agreement_.is_leader()) {
-      pending.sent_to = address_;
-      if (pending.call.is_read) agreement_.confirm_read(token, now);
-      else agreement_.propose(pending.call.version, pending.call.body, token, now);
-    } else if (!agreement_.leader_address().empty() && pending.origin.empty()) {
-      pending.sent_to = agreement_.leader_address();
-      send_to(pending.sent_to, encode(head(), Forward{token, pending.call.is_read, pending.call.version, pending.call.body}));
-    } else if (!pending.origin.empty()) {
+      call.sent_to = address_;
+      if (call.is_read) agreement_.confirm_read(token, now);
+      else agreement_.propose(call.version, call.body, token, now);
+    } else if (!leader.empty() && call.origin.empty()) {
+      const Forward forward = calls_.send(token, leader, agreement_.term());
+      send_to(leader, encode(head(), forward));
+    } else if (!call.origin.empty()) {
       ended.push_back(token);  // passed on to one that does not lead
     }
   }
@@ -255,13 +244,13 @@
   for (const std::uint64_t token : ended) finish_call(token, false, {});
 }
 
-void Core::finish_call(std::uint64_t token, bool is_done, const std::string& body) {
-  const auto found = calls_.find(token);
-  if (found == calls_.end()) return;
-  const PendingCall pending = std::move(found->second);
-  calls_.erase(found);
-  if (pending.origin.empty()) desk_->tell({pending.origin_token, is_done, body});
-  else send_to(pending.origin, encode(head(), Forwarded{pending.origin_token, is_done, body}));
+// A change that is done is told what became of it by what is committed here; `body`: what another registry told, or read.
+void Core::finish_call(std::uint64_t token, bool is_done, std::string body) {
+  const auto call = calls_.remove(token);
+  if (!call) return;
+  if (is_done && !call->is_read && body.empty() && agreement_.committed()) body = acknowledge(*agreement_.committed(), call->version, call->digest);
+  if (call->origin.empty()) desk_->tell({call->origin_token, is_done, std::move(body)});
+  else send_to(call->origin, encode(head(), CallTable::answer(*call, is_done, agreement_.term(), std::move(body))));
 }
 
 void Core::handle_output(Moment now) {
@@ -271,10 +260,10 @@
   for (const auto& result : output.results) {
     if (result.token == ~0ull) failover_.finish_proposal();
     if (result.token == ~0ull - 1) ring_moves_.finish_proposal();
-    const auto found = calls_.find(result.token);
-    if (found == calls_.end()) continue;
+    CallTable::Call* call = calls_.find(result.token);
+    if (!call) continue;
     if (result.verdict == Agreement::Verdict::done) finish_call(result.token, true, result.state ? result.state->body : "");
-    else found->second.sent_to.clear();
+    else if (call->sent_to == address_) call->sent_to.clear();
   }
 }
 
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -5,8 +5,10 @@
 #include <thread>
 
 #include "coordination/agreement.h"
+#include "coordination/calls.h"
 #include "coordination/edges.h"
 #include "coordination/failover.h"
+#include "coordination/fence.h"
 #include "coordination/grants.h"
 #include "coordination/registry.h"
 #include "coordination/ring_moves.h"
@@ -45,13 +47,6 @@
   Ring<CoreEvent>& events() { return events_; }
 
  private:
-  struct PendingCall {
-    OperatorCall call;
-    std::string origin;           // inner address of the registry that passed it on; empty: the own desk
-    std::uint64_t origin_token = 0;
-    std::string sent_to;          // the leader that has it; empty: nobody yet
-    Moment deadline;
-  };
   struct Broker {
     std::string route, from, region;
     LifeId life;
@@ -79,9 +74,9 @@
   void take_follow(const std::string& route, const FrameHead& head, const Follow& follow, Moment now);
   void take_roster(const FrameHead& head, const Roster& roster, Moment now);
   void take_trace(const std::string& route, Moment now);
-  void add_call(OperatorCall call, std::string origin, std::uint64_t origin_token, Moment now);
   void route_calls(Moment now);
-  void finish_call(std::uint64_t token, bool is_done, const std::string& body);
+  void finish_call(std::uint64_t token, bool is_done, std::string body);
+  Term led_in() const { return agreement_.leader_address().empty() ? Term{} : agreement_.term(); }  // a term that has a leader
   void handle_output(Moment now);
   void note_commit(Moment now);
   void tend_registry(Moment now);
@@ -102,7 +97,8 @@
   void take_ring_follow(const FrameHead& from, const Follow& follow, Beat& beat, Moment now);
   void tend_edges(Moment now);
   void take_edge_follow(const Follow& follow, Broker& broker);
-  void take_edge_view(const EdgeViewFrame& frame, Moment now);
+  void take_edge_view(const FrameHead& from, const EdgeViewFrame& frame, Moment now);
+  void take_edge_sums(const EdgeSums& sums, Moment now);
   std::string show_edges(Moment now) const;
   void take_pooler(const FrameHead& from, const Follow& follow, Broker& broker, Beat& beat, Moment now);
   void send_to(const std::string& address, const std::string& bytes);
@@ -163,8 +159,6 @@
   Term led_term_;           // the last term the failover knew of
   Moment renewed_due_{};
 
-  std::map<std::uint64_t, PendingCall> calls_;
-  std::uint64_t last_call_ = 0;
   std::map<std::string, Broker> brokers_;  // by inner address
   std::map<std::string, Peer> peers_;      // by inner address
   EntrySnapshot noted_;                     // the committed entry that was made known
@@ -172,6 +166,8 @@
   std::string packed_;                     // its body, as brokers get it
   Rollout rollout_;
   Grants grants_;
+  CallTable calls_;
+  Fence fence_;  // of what other registries steer
   bool is_observing_ = false, was_leader_ = false;
   std::uint64_t ordered_mark_ = ~0ull;
   Moment registry_due_{}, foreign_logged_{};
--- a/src/programs/core_databases.cpp
+++ b/src/programs/core_databases.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::uint64_t sheet_token = ~0ull;  // of a proposed table of leads
 constexpr Span renewed_every{400};
+constexpr Span raise_margin{100};             // of a lease: for a call of duty to leave
 constexpr Span settle_margin{100};            // beyond the hold and the election, for clocks that run a little apart
 
 }  // namespace
@@ -78,10 +79,10 @@
   };
   for (const Failover::Order& order : output.orders) {
     const RosterEntry entry = address_of(order.id);
-    if (!envoy_->order({order.token, entry.service, order.id, entry.address, order.text, {}, 0, now + startup_.election / 2})) LOG(ERROR) << "leads: envoy is behind";
+    if (!envoy_->order({order.token, entry.service, order.id, entry.address, order.text, {}, agreement_.term().value, agreement_.lease_until()})) LOG(ERROR) << "leads: envoy is behind";
   }
   for (const Failover::Raise& raise : output.raises)
-    if (!envoy_->order({raise.token, raise.service, raise.id, {}, {}, {}, agreement_.term().value, now + startup_.election / 4}))
+    if (!envoy_->order({raise.token, raise.service, raise.id, {}, {}, {}, agreement_.term().value, agreement_.lease_until() - raise_margin}))
       failover_.finish_raise(raise.token, 0, now);
   if (output.proposal) agreement_.propose_sheet(leads_sheet, encode_leads(*output.proposal), sheet_token, now);
 }
@@ -93,8 +94,6 @@
   if (const auto sent = broker.beats.find(follow.echo); sent != broker.beats.end() && !follow.samples.empty())
     samples_.take(follow.samples, sent->second + Span(static_cast<std::int64_t>(std::min<std::uint64_t>(follow.gap, 60000))) -
                                       Span(static_cast<std::int64_t>(std::min<std::uint64_t>(follow.samples_age, 60000))));
-  beat.token = follow.token;
-  broker.token = follow.token;
   if (agreement_.is_leased(now) && !should_leave_)
     if (const auto hold = failover_.grant(from.from, from.life, now)) beat.hold = static_cast<std::uint64_t>(hold->count());
 }
--- a/src/programs/core_edges.cpp
+++ b/src/programs/core_edges.cpp
@@ -24,8 +24,9 @@
 }
 
 // A peer's, kept for the case that this one leads next.
-void Core::take_edge_view(const EdgeViewFrame& frame, Moment now) {
-  if (agreement_.is_leader()) return metrics().add(Metric::edge_frames_dropped);
+void Core::take_edge_view(const FrameHead& from, const EdgeViewFrame& frame, Moment now) {
+  fence_.admits(led_in(), false);
+  if (!fence_.admits(frame.term, from.from == agreement_.leader_address()) || agreement_.is_leader()) return metrics().add(Metric::edge_frames_dropped);
   edge_judge_.take_ways(frame.ways);
   if (frame.view.empty()) return;
   auto view = std::make_shared<EdgeView>();
@@ -35,9 +36,16 @@
   edge_rollout_.commit(Version{static_cast<std::int64_t>(edge_judge_.view()->mark)}, now);
 }
 
+// Counts told to a leader of another term are not counted in this one.
+void Core::take_edge_sums(const EdgeSums& sums, Moment now) {
+  if (!agreement_.is_leader() || sums.term != agreement_.term()) return metrics().add(Metric::edge_frames_dropped);
+  for (const auto& [region, counts] : sums.regions)
+    if (!edge_judge_.add(region, counts, now)) metrics().add(Metric::edge_frames_dropped);
+}
+
 void Core::tend_edges(Moment now) {
   if (!startup_.has_edges) return;
-  const bool is_leading = agreement_.is_leader() && agreement_.is_confirmed(now);
+  const bool is_leading = agreement_.is_leased(now);
   if (is_leading) {
     std::vector<Version> held;
     for (const auto& [from, broker] : brokers_)
@@ -51,7 +59,7 @@
   }
   if (now < edges_due_) return;
   edges_due_ = now + edges_every;
-  EdgeSums sums;
+  EdgeSums sums{agreement_.term(), {}};
   for (auto& [region, counts] : edge_counts_)
     if (!counts.is_empty()) sums.regions.push_back({region, counts.take()});
   if (!is_leading) {
@@ -87,7 +95,7 @@
   }
   if (!view && now - edges_told_ < tell_peers_every) return;
   edges_told_ = now;
-  const std::string frame = encode(head(), EdgeViewFrame{static_cast<std::uint64_t>(edge_rollout_.in_force().value), edges_text_, edge_judge_.ways()});
+  const std::string frame = encode(head(), EdgeViewFrame{agreement_.term(), static_cast<std::uint64_t>(edge_rollout_.in_force().value), edges_text_, edge_judge_.ways()});
   for (const std::string& address : agreement_.known_addresses()) send_to(address, frame);
 }
 
--- a/src/programs/core_registry.cpp
+++ b/src/programs/core_registry.cpp
@@ -119,7 +119,10 @@
 }
 
 void Core::send_beat(Broker& to, bool is_granting, Moment now, Beat beat) {
-  beat.is_leader = agreement_.is_leader();
+  beat.term = led_in();
+  beat.asker = to.life;
+  beat.token = to.token;
+  beat.is_leader = agreement_.is_leased(now);
   beat.locality = startup_.locality;
   beat.region = startup_.region;
   if (agreement_.committed()) beat.version = agreement_.committed()->version;
@@ -130,7 +133,7 @@
   beat.registries = agreement_.known_addresses();
   beat.registries.push_back(address_);
   if (to.wants_roster && !to.is_pooler) choose_seats(to, beat);
-  if (is_granting && agreement_.is_leader()) {
+  if (is_granting && beat.is_leader) {
     beat.grant = static_cast<std::uint64_t>(grants_.grant(to.from, to.life, brokers_.size(), now) * 1000);
     beat.grant_valid = static_cast<std::uint64_t>(grants_.valid().count());
   }
@@ -140,7 +143,7 @@
     if (to.edges_held < edge_judge_.view()->mark) beat.edges = edges_text_;
   }
   beat.leads_mark = leads_.mark;
-  if (to.is_pooler && to.leads_mark < leads_.mark) beat.leads = leads_text_;
+  if (to.is_pooler && beat.is_leader && to.leads_mark < leads_.mark) beat.leads = leads_text_;
   if (to.is_pooler && to.wants_roster) {
     beat.samples = samples_.tell(now, oldest_sample);
     to.beats[beat.serial = ++last_beat_] = now;
@@ -164,6 +167,7 @@
   broker.sent_mark = follow.roster_life == life_.value ? follow.roster_mark : 0;
   broker.wants_roster = follow.wants_roster;
   broker.leads_mark = follow.leads_mark;
+  broker.token = follow.token;
   if (broker.wants_roster && broker.sent_mark < registry_.mark()) told_mark_ = ~0ull;
   Beat beat;
   if (!follow.locality.empty()) take_pooler(from, follow, broker, beat, now);
@@ -211,7 +215,7 @@
 }
 
 void Core::tend_rollout(Moment now) {
-  if (!rollout_.is_pending()) return;
+  if (!rollout_.is_pending() || (agreement_.is_leader() && !agreement_.is_leased(now))) return;
   std::vector<Version> held;
   for (const auto& [from, broker] : brokers_) held.push_back(broker.held);
   const Rollout::Turn turn = rollout_.advance(held, now);
--- a/src/programs/core_ring.cpp
+++ b/src/programs/core_ring.cpp
@@ -202,10 +202,10 @@
 
 void Core::take_ring_follow(const FrameHead& from, const Follow& follow, Beat& beat, Moment now) {
   if (!ring_sheet_.mark) return;
-  beat.token = follow.token;
+  if (!agreement_.is_leased(now)) return;
   beat.ring_mark = ring_sheet_.mark;
   if (follow.ring_held < ring_sheet_.mark) beat.ring = ring_text_;
-  if (!agreement_.is_leased(now) || should_leave_) return;
+  if (should_leave_) return;
   ring_moves_.holders().note(from.from, from.life, follow.ring_mark, now);
   beat.hold = static_cast<std::uint64_t>(ring_moves_.holders().grant(from.from, from.life, now).count());
   std::vector<std::pair<VirtualNode, RingLoad>> loads;
@@ -232,7 +232,7 @@
       ring_ = std::move(ring);
       ring_text_ = sheet->second;
       for (auto& [from, broker] : brokers_) {
-        if (broker.is_pooler) continue;
+        if (broker.is_pooler || !agreement_.is_leased(now)) continue;
         Beat beat;
         beat.ring_mark = ring_sheet_.mark;
         beat.ring = ring_text_;
@@ -268,7 +268,7 @@
     };
     value["other"] = address_of(order.other).address;
     const RosterEntry entry = address_of(order.node);
-    EnvoyOrder sent{order.token, order.node, entry.id, entry.address, {}, write(value), 0, now};
+    EnvoyOrder sent{order.token, order.node, entry.id, entry.address, {}, write(value), agreement_.term().value, agreement_.lease_until()};
     if (!envoy_->order(std::move(sent))) ring_moves_.finish_order(order.token, {});
   }
   if (output.proposal) agreement_.propose_sheet(ring_sheet, encode_ring(*output.proposal), ring_token, now);
--- a/src/programs/desk.cpp
+++ b/src/programs/desk.cpp
@@ -3,6 +3,8 @@
 #include <glog/logging.h>
 #include <json/json.h>
 
+#include <algorithm>
+
 #include "coordination/beat.h"
 #include "protocol/calls.h"
 #include "state/configuration.h"
@@ -12,7 +14,8 @@
 namespace {
 
 constexpr Span most_wait{900};  // callers turn to another node after a second of silence
-constexpr std::size_t most_document = 1 << 20;
+// Read, a document takes some ten times its size for a moment; it is refused by name with 413 beyond this.
+std::size_t most_document(const Startup& startup) { return std::clamp<std::size_t>(startup.memory_bytes / 32, 1 << 20, most_configuration); }
 
 Reply json_reply(Kind kind, const std::string& reason) {
   Json::Value value(Json::objectValue);
@@ -32,7 +35,7 @@
 Desk::Desk(const Startup& startup, Ring<CoreEvent>& events)
     : address_(startup.control), events_(events), server_(poller_, schedule_, *this, 256, startup.memory_bytes / 8),
       outcomes_(1024, [this] { poller_.wake(); }) {
-  server_.set_limits({32768, most_document, Span(5000), Span(15000)});
+  server_.set_limits({32768, most_document(startup), Span(5000), Span(15000)});
 }
 
 Fault Desk::open() { return server_.open(address_); }
--- a/src/programs/envoy.cpp
+++ b/src/programs/envoy.cpp
@@ -53,9 +53,17 @@
   }
 }
 
+bool Envoy::is_leased(const EnvoyOrder& order, Moment now) const {
+  if (now < order.until) return true;
+  const Moment until{Moment::duration(lease_until_.load())};
+  return now < until && lease_term_ == order.owner_number;
+}
+
+// Nothing leaves once the lease is over under which it was decided: not here, and not when a connection stands later.
 void Envoy::begin(EnvoyOrder order, Moment now) {
   errands_.push_back(std::make_unique<Errand>(*this, std::move(order)));
   Errand& errand = *errands_.back();
+  if (!is_leased(errand.order, now)) return finish(errand, 0);
   if (!errand.order.node_order.empty()) return begin_node(errand, now);
   if (!errand.order.text.empty()) {
     schedule_.set(errand, now + database_wait);
@@ -67,7 +75,6 @@
       finish(errand, 0);
     return;
   }
-  if (now > errand.order.until) return finish(errand, 0);
   schedule_.set(errand, now + platform_wait);
   Json::Value value(Json::objectValue);
   value["service"] = errand.order.service;
@@ -101,7 +108,7 @@
   if (message.kind == WireKind::row) errand.row = message.field(0);
   if (message.kind != WireKind::ready || errand.is_over) return !errand.is_over;
   if (errand.is_greeted) finish(errand, 200);
-  else if (!errand.link->send(wire_ask("-", errand.order.text))) finish(errand, 0);
+  else if (!is_leased(errand.order, Clock::now()) || !errand.link->send(wire_ask("-", errand.order.text))) finish(errand, 0);
   errand.is_greeted = true;
   return !errand.is_over;
 }
--- a/src/programs/follower.cpp
+++ b/src/programs/follower.cpp
@@ -12,7 +12,7 @@
 
 constexpr Span fetch_again{600}, longest_fetch{2400};  // a body that did not come is asked for again, elsewhere
 constexpr Span feed_grace{120};       // for the nearest registry to hold what a farther one tells of
-constexpr std::size_t longest_body = 4 << 20;
+constexpr std::size_t longest_body = most_configuration;
 constexpr Span eager_follow{50};  // until it is ready
 constexpr std::size_t most_steps = 64, most_aides = 4;  // most_aides: of one region
 
@@ -20,7 +20,7 @@
 
 Follower::Follower(const Startup& startup, LifeId life, std::function<void(ViewSnapshot)> show, std::function<void(AidEvent)> tell)
     : startup_(startup), life_(life), address_(Address{startup.ip_address, startup.own_port}.text()), show_(std::move(show)),
-      tell_(std::move(tell)), contacts_(4, [this] { waker_.wake(); }), outs_(1024, [this] { waker_.wake(); }), turnover_(startup.rollout_wait * 2), born_(Clock::now()), steps_(most_steps) {
+      tell_(std::move(tell)), contacts_(4, [this] { waker_.wake(); }), outs_(1024, [this] { waker_.wake(); }), feed_({startup.locality, startup.region, startup.follow, startup.unconfirmed_wait}, life, Clock::now()), turnover_(startup.rollout_wait * 2), born_(Clock::now()), steps_(most_steps) {
   contacts_.push(startup.contacts);
 }
 
@@ -33,52 +33,48 @@
   if (thread_.joinable()) thread_.join();
 }
 
-void Follower::reach(const std::string& address) {
-  Address parsed;
-  if (sources_.contains(address) || !parse_address(address, parsed)) return;
-  Source& source = sources_[address];
-  source.spoke = std::make_unique<Spoke>(context_, parsed);
-  follow_due_ = {};
+// One spoke to each registry that the feed knows of.
+void Follower::reach_all() {
+  std::erase_if(lines_, [&](const auto& line) { return !feed_.sources().contains(line.first); });
+  for (const auto& [address, source] : feed_.sources()) {
+    Address parsed;
+    if (lines_.contains(address) || !parse_address(address, parsed)) continue;
+    lines_[address].spoke = std::make_unique<Spoke>(context_, parsed);
+    follow_due_ = {};
+  }
+}
+
+void Follower::follow_leader() {
+  for (const auto& [address, source] : feed_.sources())
+    if (feed_.is_leader(source)) follow_one(address, false);
 }
 
 void Follower::run() {
   std::vector<void*> handles;
   while (!should_stop_) {
-    Moment now = Clock::now();
     for (const auto& contacts : contacts_.take()) {
-      seeds_.clear();
-      for (const Address& contact : contacts) seeds_.push_back(Address{contact.host, startup_.inner_port}.text());
+      std::vector<std::string> seeds;
+      for (const Address& contact : contacts) seeds.push_back(Address{contact.host, startup_.inner_port}.text());
+      feed_.set_seeds(std::move(seeds), Clock::now());
     }
-    for (const std::string& address : seeds_) reach(address);
-    for (const std::string& address : registries_) reach(address);
-    std::erase_if(sources_, [&](const auto& source) {
-      const auto is_in = [&](const auto& list) { return std::find(list.begin(), list.end(), source.first) != list.end(); };
-      return !is_in(seeds_) && !is_in(registries_);
-    });
+    reach_all();
     if (const std::uint64_t mark = confirmed_mark_; mark != told_mark_) {
       told_mark_ = mark;
-      for (auto& [address, source] : sources_)
-        if (source.is_leader) follow_one(source, false);
+      follow_leader();
     }
     if (const std::uint64_t mark = ring_confirmed_; mark != ring_told_) {
       ring_told_ = mark;
-      for (auto& [address, source] : sources_)
-        if (source.is_leader) follow_one(source, false);
+      follow_leader();
     }
-    if (now >= follow_due_) follow_all(now);
+    if (const Moment now = Clock::now(); now >= follow_due_) follow_all(now);
     handles.assign({hub_.handle()});
-    for (const auto& [address, source] : sources_) handles.push_back(source.spoke->handle());
+    for (const auto& [address, line] : lines_) handles.push_back(line.spoke->handle());
     for (const auto& [address, spoke] : aides_) handles.push_back(spoke->handle());
     Moment due = turnover_.is_turning() ? std::min(follow_due_, turnover_.due()) : follow_due_;
     if (fetched_ > turnover_.held()) due = std::min(due, fetch_due_);
     wait_links(handles, waker_, std::clamp(std::chrono::ceil<Span>(due - Clock::now()), Span(0), Span(1000)));
-    now = Clock::now();
-    for (auto& [address, source] : sources_)
-      for (int count = 0; count < 256; ++count) {
-        const auto parcel = source.spoke->receive();
-        if (!parcel) break;
-        take(address, *parcel, now);
-      }
+    for (auto& [address, line] : lines_) take_each(256, [&] { return line.spoke->receive(); }, Clock::now, [&](const Parcel& parcel, Moment came) { take(parcel, came); });
+    const Moment now = Clock::now();
     take_hub(now);
     send_aids();
     fetch(now);
@@ -89,73 +85,62 @@
 }
 
 void Follower::follow_all(Moment now) {
-  followed_ = now;
+  feed_.turn(now);
   follow_due_ = now + (is_ready_ ? startup_.follow : eager_follow);
   for (Evidence& evidence : evidence_.take()) seen_ = std::move(evidence);
-  asked_[++token_] = now;
-  while (asked_.size() > 64) asked_.erase(asked_.begin());
-  ++turn_;
-  const bool is_led = std::any_of(sources_.begin(), sources_.end(), [&](const auto& item) {
-    return item.second.is_leader && now - item.second.heard < startup_.follow * 3;
-  });
   std::size_t place = 0;
-  for (auto& [address, source] : sources_) {
-    if (is_ready_ && is_led && !source.is_leader && !source.is_feed && (turn_ + ++place) % seldom != 0) continue;
-    follow_one(source, false);
-  }
+  for (const auto& [address, source] : feed_.sources())
+    if (feed_.should_ask(address, ++place, is_ready_, now)) follow_one(address, false);
   choose_feed(now);
   book_.forget_gone(now, registry_tombstone(startup_));
 }
 
-void Follower::take(const std::string&, const Parcel& parcel, Moment now) {
+void Follower::choose_feed(Moment now) {
+  if (const auto chosen = feed_.choose(now)) follow_one(*chosen, false);
+}
+
+void Follower::take(const Parcel& parcel, Moment now) {
   ByteReader reader(parcel.bytes);
   FrameHead head;
-  bool is_good = decode_head(reader, head);
-  if (!is_good) return;
-  const auto found = sources_.find(head.from);
-  if (found == sources_.end()) return;
-  Source& source = found->second;
-  source.heard = now;
+  if (!decode_head(reader, head)) return;
+  const auto found = lines_.find(head.from);
+  if (found == lines_.end()) return;
+  bool is_good = false;
   if (head.kind == FrameKind::beat) {
     Beat beat;
-    if ((is_good = decode(reader, beat))) take_beat(source, beat, now);
+    if ((is_good = decode(reader, beat))) take_beat(head.from, found->second, beat, now);
   } else if (head.kind == FrameKind::body) {
     Body body;
     if ((is_good = decode(reader, body))) take_body(std::move(body), now);
   } else if (head.kind == FrameKind::roster) {
     Roster roster;
-    if ((is_good = decode(reader, roster))) take_roster(source, head, roster, now);
-  } else {
-    is_good = false;
+    if ((is_good = decode(reader, roster))) take_roster(found->second, head, roster, now);
   }
   if (!is_good) {
     LOG_EVERY_N(WARNING, 100) << "follow: frame dropped, foreign or damaged, from " << head.from;
   }
 }
 
-void Follower::take_beat(Source& source, Beat& beat, Moment now) {
-  source.version = beat.version;
-  source.is_leader = beat.is_leader;
-  source.locality = beat.locality;
-  source.region = beat.region;
-  // The leader alone hears of every broker often.
-  if (beat.is_leader) turnover_.see_in_force(beat.in_force);
-  if (hold_) take_hold(source, beat, now);
-  if (ring_) take_ring(beat);
-  if (edges_ && beat.is_leader && beat.is_confirmed) take_edges(beat);
-  if (!is_ready_) choose_feed(now);
-  if (beat.grant_valid) {  // its span runs from the leader's sending, which is after our follow
-    reserve_.take(static_cast<double>(beat.grant) / 1000, Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.grant_valid, 60000))), followed_);
-    if (now - reserve_shown_ >= startup_.follow * 2) {  // well before the one shown runs out
-      reserve_shown_ = now;
-      has_news_ = true;
+void Follower::take_beat(const std::string& address, Line& line, Beat& beat, Moment now) {
+  const bool was_confirmed = feed_.is_confirmed(feed_.chosen(), now);
+  const Feed::Heard heard = feed_.take(address, beat, now);
+  if (heard.is_steering) {
+    turnover_.see_in_force(beat.in_force);
+    if (hold_) take_hold(beat, *heard.asked);
+    if (ring_) take_ring(beat, *heard.asked);
+    if (edges_) take_edges(beat);
+    if (beat.grant_valid) {
+      reserve_.take(static_cast<double>(beat.grant) / 1000, Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.grant_valid, 60000))), *heard.asked);
+      if (now - reserve_shown_ >= startup_.follow * 2) {  // well before the one shown runs out
+        reserve_shown_ = now;
+        has_news_ = true;
+      }
     }
   }
-  source.is_confirmed = beat.is_confirmed;
-  source.is_filled = beat.is_filled;
-  if (beat.is_confirmed) {
-    registries_ = beat.registries;
-    if (source.is_feed && beat.seats_mark != seats_mark_ && (beat.seats_mark == 0 || !beat.seats.empty())) take_seats(beat);
+  if (heard.asked && sample_) take_samples(line, beat, *heard.asked, now);
+  if (!is_ready_ || !was_confirmed) choose_feed(now);
+  if (heard.asked && beat.is_confirmed) {
+    if (address == feed_.chosen() && beat.seats_mark != seats_mark_ && (beat.seats_mark == 0 || !beat.seats.empty())) take_seats(beat);
     if (beat.brokers != brokers_) {
       brokers_ = std::max<std::uint64_t>(1, beat.brokers);
       has_news_ = true;
@@ -187,27 +172,26 @@
 
 // Asks a registry that holds the newest version for its body: the feed, if it has it soon, else the one heard last.
 void Follower::fetch(Moment now) {
-  Source* best = nullptr;
-  bool has_feed = false;
+  const std::pair<const std::string, Feed::Source>* best = nullptr;
+  const bool has_feed = is_ready_ && !feed_.chosen().empty();
   const Version held = turnover_.held();
-  for (auto& [address, source] : sources_) {
-    has_feed = has_feed || (source.is_feed && is_ready_);
-    if (source.version <= held) continue;
-    const auto rank = [](const Source& one) { return std::tuple(one.version, one.is_feed, one.heard); };
-    if (!best || rank(source) > rank(*best)) best = &source;
+  for (const auto& item : feed_.sources()) {
+    if (item.second.version <= held) continue;
+    const auto rank = [&](const auto& one) { return std::tuple(one.second.version, one.first == feed_.chosen(), one.second.heard); };
+    if (!best || rank(item) > rank(*best)) best = &item;
   }
   if (!best || now < fetch_due_) return;
-  if (fetched_ != best->version) {
-    fetched_ = best->version;
+  if (fetched_ != best->second.version) {
+    fetched_ = best->second.version;
     fetch_pause_ = fetch_again;
-    if (has_feed && !best->is_feed) {
+    if (has_feed && best->first != feed_.chosen()) {
       fetch_due_ = now + feed_grace;
       return;
     }
   }
   fetch_due_ = now + fetch_pause_;
   fetch_pause_ = std::min(fetch_pause_ * 2, longest_fetch);  // over a narrow link a body takes its time
-  follow_one(*best, true);
+  follow_one(best->first, true);
 }
 
 void Follower::take_body(Body body, Moment now) {
@@ -236,31 +220,25 @@
   steps_.note(turnover_.serving()->version, "in force", now);
 }
 
-void Follower::take_roster(Source& source, const FrameHead& head, const Roster& roster, Moment now) {
-  if (source.life != head.life.value) {  // another life there: only its whole roster counts
+void Follower::take_roster(Line& line, const FrameHead& head, const Roster& roster, Moment now) {
+  if (line.life != head.life.value) {  // another life there: only its whole roster counts
     if (!roster.is_whole) return;
-    source.life = head.life.value;
-  } else if (roster.base > source.mark) {
+    line.life = head.life.value;
+  } else if (roster.base > line.mark) {
     return;  // a gap: the next follow tells what is held, and the rest comes again
   }
   for (const RosterEntry& entry : roster.entries) has_news_ |= book_.merge(entry, now);
-  source.mark = roster.is_whole ? roster.mark : std::max(source.mark, roster.mark);
-  source.has_roster = true;
+  line.mark = roster.is_whole ? roster.mark : std::max(line.mark, roster.mark);
+  feed_.take_roster(head.from);
 }
 
-// Ready: a configuration and a roster that a registry with a quorum behind it confirmed in this life, or, when no
-// such registry answers in time, the newest that any registry reached holds committed.
 void Follower::check_ready(Moment now) {
   const ConfigurationSnapshot& serving = turnover_.serving();
   if (is_ready_ || !serving) return;
-  for (const auto& [address, source] : sources_) {
-    const bool is_current = source.heard != Moment{} && source.has_roster && source.version <= serving->version;
-    const bool is_trusted = source.is_confirmed && source.is_filled && source.version == serving->version;
-    if (!is_current || (!is_trusted && now - born_ < startup_.unconfirmed_wait)) continue;
-    is_ready_ = has_news_ = true;
-    LOG(INFO) << "follow: ready by edition " << serving->version.value << (is_trusted ? "" : ", unconfirmed");
-    return;
-  }
+  const Feed::Ready ready = feed_.judge(serving->version, now);
+  if (ready == Feed::Ready::no) return;
+  is_ready_ = has_news_ = true;
+  LOG(INFO) << "follow: ready by edition " << serving->version.value << (ready == Feed::Ready::confirmed ? "" : ", unconfirmed");
 }
 
 void Follower::publish() {
@@ -298,7 +276,7 @@
     traced.role = "broker";
     traced.held = turnover_.held();
     traced.steps = steps_.tell(now);
-    traced.registries = registries_;
+    traced.registries = feed_.registries();
     hub_.send(parcel->route, encode({FrameKind::traced, life_, address_}, traced));
   }
 }
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "coordination/edges.h"
+#include "coordination/feed.h"
 #include "coordination/grants.h"
 #include "coordination/ring_gate.h"
 #include "coordination/registry.h"
@@ -88,8 +89,6 @@
 
 class Follower {
  public:
-  static constexpr std::size_t seldom = 4;  // of how many turns one reaches registries that neither lead nor feed
-
   Follower(const Startup& startup, LifeId life, std::function<void(ViewSnapshot)> show, std::function<void(AidEvent)> tell);
   Fault open();
   void start();
@@ -119,30 +118,26 @@
   }
 
  private:
-  struct Source {  // one registry
+  struct Line {  // to one registry; what it told of itself is the feed's
     std::unique_ptr<Spoke> spoke;
     std::uint64_t life = 0, mark = 0;  // of its roster, as far as taken
-    Version version;                   // it holds committed
-    bool is_confirmed = false, is_filled = false, has_roster = false, is_leader = false;
-    bool is_feed = false;              // asked for its roster
-    std::string locality, region;
-    Moment fed{};                      // when it became the feed
     std::uint64_t serial = 0;          // of its last beat
     Moment beaten{};                   // when that came
-    Moment heard{};
   };
   void run();
-  void reach(const std::string& address);
-  void take(const std::string& address, const Parcel& parcel, Moment now);
-  void take_beat(Source& source, Beat& beat, Moment now);
+  void reach_all();
+  void follow_leader();
+  void take(const Parcel& parcel, Moment now);
+  void take_beat(const std::string& address, Line& line, Beat& beat, Moment now);
   void take_body(Body body, Moment now);
-  void take_roster(Source& source, const FrameHead& head, const Roster& roster, Moment now);
+  void take_roster(Line& line, const FrameHead& head, const Roster& roster, Moment now);
   void follow_all(Moment now);
-  void follow_one(Source& source, bool wants_body);
+  void follow_one(const std::string& address, bool wants_body);
   void choose_feed(Moment now);
   void count_ring(Follow& follow);
-  void take_ring(const Beat& beat);
-  void take_hold(Source& source, Beat& beat, Moment now);
+  void take_ring(const Beat& beat, Moment asked);
+  void take_hold(Beat& beat, Moment asked);
+  void take_samples(Line& line, Beat& beat, Moment asked, Moment now);
   void fetch(Moment now);
   void check_ready(Moment now);
   void turn(Moment now);
@@ -164,8 +159,8 @@
   std::vector<BrokerSeat> seats_;  // ready brokers of other regions, a few of each
   std::uint64_t seats_mark_ = 0;   // of the list they were taken from
   void take_seats(const Beat& beat);
-  std::map<std::string, Source> sources_;  // by inner address
-  std::vector<std::string> seeds_, registries_;
+  Feed feed_;
+  std::map<std::string, Line> lines_;  // by inner address
   RosterBook book_;
   Turnover turnover_;
   Moment born_, follow_due_{}, fetch_due_{};
@@ -175,8 +170,6 @@
   std::uint64_t brokers_ = 1;
   Reserve reserve_;
   Moment reserve_shown_{};
-  Moment followed_{};  // when the last follow left: a grant counts from there
-  std::size_t turn_ = 0;  // of following: those that neither lead nor feed are asked less often
 
   std::function<void(HoldNews)> hold_;
   std::function<void(SampleNews)> sample_;
@@ -192,8 +185,7 @@
   Ring<Evidence> evidence_{16, {}};
   Evidence seen_;
   std::atomic<std::uint64_t> confirmed_mark_ = 0;
-  std::uint64_t told_mark_ = 0, leads_mark_ = 0, token_ = 0;  // leads_mark_: of the table handed on
-  std::map<std::uint64_t, Moment> asked_;                     // when the follow of a token left
+  std::uint64_t told_mark_ = 0, leads_mark_ = 0;  // leads_mark_: of the table handed on
   Moment hold_until_{};
   StepLog steps_;
   std::atomic<bool> should_stop_ = false, is_leaving_ = false;
--- a/src/programs/following.cpp
+++ b/src/programs/following.cpp
@@ -9,69 +9,49 @@
 namespace saddlewing {
 namespace {
 
-constexpr Span feed_wait{500};       // a feed that brings nothing is changed for another
 constexpr Span oldest_sample{1500};
 
 }  // namespace
 
-void Follower::follow_one(Source& source, bool wants_body) {
+void Follower::follow_one(const std::string& address, bool wants_body) {
+  const auto found = lines_.find(address);
+  const auto known = feed_.sources().find(address);
+  if (found == lines_.end() || known == feed_.sources().end()) return;
+  const Line& line = found->second;
+  const bool is_feed = address == feed_.chosen(), is_leader = feed_.is_leader(known->second);
   Follow follow;
   follow.version = turnover_.held();
-  follow.roster_life = source.life;
-  follow.roster_mark = source.mark;
+  follow.roster_life = line.life;
+  follow.roster_mark = line.mark;
   follow.wants_body = wants_body;
-  follow.wants_roster = source.is_feed;
+  follow.wants_roster = is_feed;
   follow.region = startup_.region;
   follow.is_ready = is_ready_ && !is_leaving_;
   follow.seats_mark = seats_mark_;
-  follow.token = token_;
+  follow.token = feed_.token();
   follow.leads_mark = confirmed_mark_;
   if (hold_) follow.locality = startup_.locality;
   follow.ring_mark = ring_confirmed_;
   follow.ring_held = ring_mark_;
-  if (ring_mark_ && source.is_leader) count_ring(follow);
+  if (ring_mark_ && is_leader) count_ring(follow);
   if (edges_) {
     follow.edges_held = edges_held_;
     for (const std::string& counts : edge_counts_.take()) edge_sums_.merge(counts);
-    if (source.is_feed) follow.edge_counts = edge_sums_.take();
+    if (is_feed) follow.edge_counts = edge_sums_.take();
   }
-  if (hold_ && (source.is_leader || source.is_feed)) {
+  if (hold_ && (is_leader || is_feed)) {
     follow.failing = seen_.failing;
     follow.fine = seen_.fine;
-    if (source.is_feed && source.serial && Clock::now() - seen_.built < oldest_sample) {
+    if (is_feed && line.serial && Clock::now() - seen_.built < oldest_sample) {
       const Moment now = Clock::now();
       follow.samples = seen_.samples;
       follow.samples_age = static_cast<std::uint64_t>(std::chrono::ceil<Span>(now - seen_.built).count());
-      follow.echo = source.serial;
-      follow.gap = static_cast<std::uint64_t>(span_between(source.beaten, now).count());
+      follow.echo = line.serial;
+      follow.gap = static_cast<std::uint64_t>(span_between(line.beaten, now).count());
     }
     if (seen_.mark != follow.leads_mark) follow.failing.clear(), follow.fine.clear();
   }
-  source.spoke->send(encode({FrameKind::follow, life_, address_}, follow));
-}
-
-// One registry's roster is enough: the nearest that is heard. Another takes its place when it falls silent.
-void Follower::choose_feed(Moment now) {
-  const auto rank = [&](const Source& source) {
-    const int way = source.locality == startup_.locality ? 3 : source.region == startup_.region ? 2 : 1;
-    return source.is_confirmed ? way + 4 : way;  // one cut off from the core hears of no cancel
-  };
-  Source* best = nullptr;
-  for (auto& [address, source] : sources_) {
-    if (source.is_feed) {
-      const bool is_silent = now - std::max(source.heard, source.fed) > startup_.follow * 3;
-      const bool is_empty = !source.has_roster && now - source.fed > feed_wait;
-      source.is_feed = !is_silent && !is_empty;
-      if (!source.is_feed) source.fed = now, source.heard = {};
-    }
-    if (source.heard == Moment{} || now - source.heard > startup_.follow * 3 * static_cast<int>(seldom)) continue;
-    if (!best || std::pair(rank(source), source.is_feed) > std::pair(rank(*best), best->is_feed)) best = &source;
-  }
-  if (!best || best->is_feed) return;
-  for (auto& [address, source] : sources_) source.is_feed = false;
-  best->is_feed = true;
-  best->fed = now;
-  follow_one(*best, false);
+  line.spoke->send(encode({FrameKind::follow, life_, address_}, follow));
 }
 
 void Follower::count_ring(Follow& follow) {
@@ -108,7 +88,7 @@
   edges_(std::move(news));
 }
 
-void Follower::take_ring(const Beat& beat) {
+void Follower::take_ring(const Beat& beat, Moment asked) {
   RingNews news;
   if (!beat.ring.empty() && beat.ring_mark > ring_mark_) {
     RingSheet sheet;
@@ -117,15 +97,12 @@
       LOG(INFO) << "follow: ring " << ring_mark_ << " held";
     }
   }
-  if (const auto asked = asked_.find(beat.token); beat.hold && asked != asked_.end())
-    news.until = asked->second + Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.hold, 60000)));
+  if (beat.hold) news.until = asked + Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.hold, 60000)));
   if (news.view || (ring_mark_ && beat.hold)) ring_(std::move(news));
 }
 
 // Invariant: a hold counts from the moment of asking, and a table is handed on before a hold that covers it.
-void Follower::take_hold(Source& source, Beat& beat, Moment now) {
-  source.serial = beat.serial;
-  source.beaten = now;
+void Follower::take_hold(Beat& beat, Moment asked) {
   HoldNews news;
   if (!beat.leads.empty() && beat.leads_mark > leads_mark_) {
     auto table = std::make_shared<LeadTable>();
@@ -134,13 +111,16 @@
       news.leads = std::move(table);
     }
   }
-  const auto asked = asked_.find(beat.token);
-  if (beat.hold && asked != asked_.end())
-    hold_until_ = std::max(hold_until_, asked->second + Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.hold, 60000))));
+  if (beat.hold) hold_until_ = std::max(hold_until_, asked + Span(static_cast<std::int64_t>(std::min<std::uint64_t>(beat.hold, 60000))));
   news.until = hold_until_;
   if (news.leads || beat.hold) hold_(std::move(news));
-  // The beat answers that follow, so its ages were counted after it left.
-  if (!beat.samples.empty() && asked != asked_.end()) sample_({std::move(beat.samples), asked->second});
+}
+
+// The beat answers that follow, so its ages were counted after it left.
+void Follower::take_samples(Line& line, Beat& beat, Moment asked, Moment now) {
+  line.serial = beat.serial;
+  line.beaten = now;
+  if (!beat.samples.empty()) sample_({std::move(beat.samples), asked});
 }
 
 }  // namespace saddlewing
--- a/src/programs/rings.h
+++ b/src/programs/rings.h
@@ -49,8 +49,8 @@
   std::string service, id, address;  // of a database
   std::string text;                  // empty: the call of duty for this backend
   std::string node_order;            // to a node of the ring instead: JSON
-  std::uint64_t owner_number = 0;
-  Moment until{};                    // not begun after that: the lease would be over
+  std::uint64_t owner_number = 0;    // the term under whose lease it was decided
+  Moment until{};                    // nothing of it leaves after that, unless the lease of that term was extended
 };
 
 struct Saved {  // disk to agree
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -3,7 +3,7 @@
 namespace saddlewing {
 namespace {
 
-constexpr std::uint64_t protocol_number = 0x5357'0003;
+constexpr std::uint64_t protocol_number = 0x5357'0004;
 
 Writer open_frame(const FrameHead& head, FrameKind kind) {
   Writer writer;
@@ -79,7 +79,7 @@
 
 std::string encode(const FrameHead& head, const Forward& value) {
   Writer writer = open_frame(head, FrameKind::forward);
-  writer.number(value.token).number(value.is_read).number(value.version.value).text(value.body);
+  writer.number(value.token).number(value.is_read).number(value.version.value).text(value.body).number(value.term.value);
   return writer.take();
 }
 
@@ -88,17 +88,24 @@
   value.is_read = reader.number();
   value.version = read_version(reader);
   value.body = reader.text();
+  value.term.value = reader.number();
   return reader.is_whole();
 }
 
 std::string encode(const FrameHead& head, const Forwarded& value) {
   Writer writer = open_frame(head, FrameKind::forwarded);
-  writer.number(value.token).number(value.is_done).text(value.body);
+  writer.number(value.token).number(value.asker.value).number(value.is_read).number(value.version.value).number(value.digest);
+  writer.number(value.term.value).number(value.is_done).text(value.body);
   return writer.take();
 }
 
 bool decode(ByteReader& reader, Forwarded& value) {
   value.token = reader.number();
+  value.asker.value = reader.number();
+  value.is_read = reader.number();
+  value.version = read_version(reader);
+  value.digest = reader.number();
+  value.term.value = reader.number();
   value.is_done = reader.number();
   value.body = reader.text();
   return reader.is_whole();
@@ -145,18 +152,22 @@
 
 std::string encode(const FrameHead& head, const Beat& value) {
   Writer writer = open_frame(head, FrameKind::beat);
+  writer.number(value.term.value).number(value.asker.value).number(value.token);
   writer.number(value.version.value).number(value.in_force.value).number(value.is_confirmed).number(value.is_filled).number(value.is_leader);
   writer.text(value.locality).text(value.region).number(value.brokers);
   writer.number(value.grant).number(value.grant_valid);
   write_texts(writer, value.registries);
   writer.number(value.seats_mark).number(value.seats.size());
   for (const BrokerSeat& seat : value.seats) writer.text(seat.address).text(seat.region);
-  writer.number(value.token).number(value.hold).number(value.leads_mark).text(value.leads).text(value.samples).number(value.serial).number(value.ring_mark).text(value.ring);
+  writer.number(value.hold).number(value.leads_mark).text(value.leads).text(value.samples).number(value.serial).number(value.ring_mark).text(value.ring);
   writer.number(value.edges_in_force).text(value.edges);
   return writer.take();
 }
 
 bool decode(ByteReader& reader, Beat& value) {
+  value.term.value = reader.number();
+  value.asker.value = reader.number();
+  value.token = reader.number();
   value.version = read_version(reader);
   value.in_force = read_version(reader);
   value.is_confirmed = reader.number();
@@ -174,7 +185,6 @@
     seat.address = reader.text();
     seat.region = reader.text();
   }
-  value.token = reader.number();
   value.hold = reader.number();
   value.leads_mark = reader.number();
   value.leads = reader.text();
@@ -355,12 +365,13 @@
 
 std::string encode(const FrameHead& head, const EdgeSums& value) {
   Writer writer = open_frame(head, FrameKind::edge_sums);
-  writer.number(value.regions.size());
+  writer.number(value.term.value).number(value.regions.size());
   for (const auto& [region, counts] : value.regions) writer.text(region).text(counts);
   return writer.take();
 }
 
 bool decode(ByteReader& reader, EdgeSums& value) {
+  value.term.value = reader.number();
   value.regions.resize(reader.count(16));
   for (auto& [region, counts] : value.regions) {
     region = reader.text();
@@ -371,12 +382,13 @@
 
 std::string encode(const FrameHead& head, const EdgeViewFrame& value) {
   Writer writer = open_frame(head, FrameKind::edge_view);
-  writer.number(value.in_force).text(value.view).number(value.ways.size());
+  writer.number(value.term.value).number(value.in_force).text(value.view).number(value.ways.size());
   for (const auto& [way, least] : value.ways) writer.text(way.first).text(way.second).number(static_cast<std::uint64_t>(least * 1000));
   return writer.take();
 }
 
 bool decode(ByteReader& reader, EdgeViewFrame& value) {
+  value.term.value = reader.number();
   value.in_force = reader.number();
   value.view = reader.text();
   for (std::uint64_t left = reader.count(24); left > 0; --left) {
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -57,16 +57,23 @@
 };
 
 struct Forward {
-  std::uint64_t token = 0;
+  std::uint64_t token = 0;  // counted anew in each life of the sender, which the head names
   bool is_read = false;
   Version version;
   std::string body;
+  Term term;                // as known to the sender
 };
 
+// Names what it answers: whoever asked believes nothing else.
 struct Forwarded {
   std::uint64_t token = 0;
+  LifeId asker;
+  bool is_read = false;
+  Version version;           // as asked
+  std::uint64_t digest = 0;  // of the body sent with the call
+  Term term;                 // of the sender; of a read: it led in it when a majority confirmed the answer
   bool is_done = false;
-  std::string body;  // of a read
+  std::string body;          // what was read, or the acknowledgement
 };
 
 struct Follow {
@@ -77,8 +84,8 @@
   std::string region;
   bool is_ready = false;
   std::uint64_t seats_mark = 0;  // of the seats it knows
+  std::uint64_t token = 0;       // names the moment of asking; holds and grants count from there
   // Of a pooler:
-  std::uint64_t token = 0;       // names the moment of asking; holds count from there
   std::uint64_t leads_mark = 0;  // the table of leads it acts by; 0 of a broker
   std::string locality;          // empty of a broker
   std::string failing, fine;     // a bit for each lead of that table: nothing but breakdowns of late; heard of late
@@ -103,11 +110,14 @@
 };
 
 struct Beat {
+  Term term;                  // in which the sender leads or follows a leader; 0: it knows of none
+  LifeId asker;               // the broker's life that it is for
+  std::uint64_t token = 0;    // of that broker's last follow
   Version version;
   Version in_force;           // every broker heard of late holds it, or the wait for that is over
   bool is_confirmed = false;  // a quorum stands behind it
   bool is_filled = false;     // its roster was refilled since it started
-  bool is_leader = false;
+  bool is_leader = false;     // it leads in that term, under a lease
   std::string locality, region;  // of the registry
   std::uint64_t brokers = 0;  // brokers heard of late
   std::uint64_t grant = 0;    // thousandths of a further try, from the leader alone
@@ -116,7 +126,6 @@
   std::uint64_t seats_mark = 0;         // of the ready brokers
   std::vector<BrokerSeat> seats;        // they themselves, unless the broker knows this mark already
   // To a pooler:
-  std::uint64_t token = 0;       // of the follow answered last
   std::uint64_t hold = 0;        // milliseconds from that follow's leaving; 0: none granted
   std::uint64_t leads_mark = 0;
   std::string leads;             // the table, unless the pooler has this mark
@@ -141,9 +150,11 @@
 };
 
 struct EdgeSums {
+  Term term;
   std::vector<std::pair<std::string, std::string>> regions;  // by region of the asking brokers: counts as they travel
 };
 struct EdgeViewFrame {
+  Term term;  // in which the sender leads
   std::uint64_t in_force = 0;
   std::string view;                                             // empty: there is none yet
   std::map<std::pair<std::string, std::string>, double> ways;   // see EdgeJudge
--- a/src/state/configuration.h
+++ b/src/state/configuration.h
@@ -12,6 +12,8 @@
 
 namespace saddlewing {
 
+inline constexpr std::size_t most_configuration = 8 << 20;  // bytes of its document
+
 struct Service {
   std::string name, health_path;
   int most_connections = 1;
--- a/src/transport/caller.cpp
+++ b/src/transport/caller.cpp
@@ -57,6 +57,7 @@
     was_connected_ = true;
     connected_at_ = now;
     state_ = is_asked_ ? State::asking : State::idle;
+    if (is_asked_ && !owner_.may_send(*this, now)) return fail(Kind::deadline_reached, now);
     return flush(now);
   }
   if (is_writable && state_ != State::ended) flush(now);
--- a/src/transport/caller.h
+++ b/src/transport/caller.h
@@ -16,6 +16,7 @@
   virtual ~CallOwner() = default;
   virtual void on_outcome(Caller& caller, Moment now) = 0;
   virtual void on_breakdown(Caller& caller, Kind kind, Moment now) = 0;
+  virtual bool may_send(Caller&, Moment) { return true; }  // asked once, when the connection stands; false breaks the call down
   virtual void on_idle_end(Caller& caller) = 0;  // an idle connection ended or spoke out of turn
 };
 
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -4,7 +4,7 @@
 namespace {
 
 constexpr int most_held = 256;            // frames a socket holds each way
-constexpr int largest_frame = 4 << 20;
+constexpr int largest_frame = 16 << 20;   // an entry carries the whole state: a configuration of 8 MiB and the sheets
 
 void prepare(zmq::socket_t& socket) {
   socket.set(zmq::sockopt::linger, 0);
