--- a/src/coordination/agreement.cpp
+++ b/src/coordination/agreement.cpp
@@ -1,8 +1,11 @@
 #include "coordination/agreement.h"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
+#include "coordination/calls.h"
+
 namespace saddlewing {
 
 using Type = RaftMessage::Type;
@@ -164,6 +167,8 @@
     if (!waiting.sheet.empty()) {
       entry->sheets[waiting.sheet] = std::move(waiting.text);
     } else if (waiting.version > entry->version) {
+      std::string& orders = entry->sheets[orders_sheet];
+      orders = note_order(orders, waiting.version, digest_of(waiting.body));
       entry->version = waiting.version;
       entry->body = std::move(waiting.body);
     }
@@ -237,13 +242,20 @@
   return !leader_.empty() && now - heard_confirmed_ < options_.election;
 }
 
-bool Agreement::is_leased(Moment now) const {
-  if (role_ != Role::leader || !committed_ || committed_->term != durable_.term) return false;
-  return is_quorum([&](MemberId id) {
-    if (id == durable_.self) return true;
-    const auto peer = peers_.find(id);
-    return peer != peers_.end() && peer->second.leased != Moment{} && now - peer->second.leased < options_.election;
-  });
+Moment Agreement::lease_until() const {
+  if (role_ != Role::leader || !committed_ || committed_->term != durable_.term) return {};
+  const auto until = [&](const std::vector<Member>& members) {
+    std::vector<Moment> answered;  // when the beats left that members answered last, the newest first
+    for (const Member& member : members) {
+      const auto peer = peers_.find(member.id);
+      if (member.id == durable_.self) answered.push_back(Moment::max() - options_.election);
+      else if (peer != peers_.end() && peer->second.leased != Moment{}) answered.push_back(peer->second.leased);
+    }
+    std::sort(answered.begin(), answered.end(), std::greater<>());
+    return answered.size() <= members.size() / 2 ? Moment{} : answered[members.size() / 2] + options_.election;
+  };
+  const Entry& entry = *durable_.entry;
+  return entry.former.empty() ? until(entry.members) : std::min(until(entry.members), until(entry.former));
 }
 
 void Agreement::propose(Version version, std::string body, std::uint64_t token, Moment now) {
