--- a/src/programs/desk.cpp
+++ b/src/programs/desk.cpp
@@ -14,8 +14,8 @@
 namespace {
 
 constexpr Span most_wait{900};  // callers turn to another node after a second of silence
-// Read, a document takes some ten times its size for a moment; it is refused by name with 413 beyond this.
-std::size_t most_document(const Startup& startup) { return std::clamp<std::size_t>(startup.memory_bytes / 32, 1 << 20, most_configuration); }
+// Reading a document takes some 25 times its size for a moment; beyond this it is refused by name, with 413.
+std::size_t most_document(const Startup& startup) { return std::clamp<std::size_t>(startup.memory_bytes / 64, 1 << 20, most_configuration); }
 
 Reply json_reply(Kind kind, const std::string& reason) {
   Json::Value value(Json::objectValue);
