--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -98,6 +98,25 @@
   ByteReader beat_reader(beat_bytes);
   cr_assert(decode_head(beat_reader, seen) && decode(beat_reader, heard));
   cr_expect(heard.term == Term{4} && heard.asker == LifeId{11} && heard.token == 6 && heard.hold == 3000);
+  Follow follow, followed;
+  follow.token = 8;
+  follow.echo_life = LifeId{12};
+  follow.echo = 9;
+  follow.gap = 10;
+  const std::string follow_bytes = encode(head, follow);
+  ByteReader follow_reader(follow_bytes);
+  cr_assert(decode_head(follow_reader, seen) && decode(follow_reader, followed));
+  cr_expect(followed.token == 8 && followed.echo_life == LifeId{12} && followed.echo == 9 && followed.gap == 10);
+  EdgeSums sums{Term{4}, {{"north", "counts"}}}, summed;
+  const std::string sums_bytes = encode(head, sums);
+  ByteReader sums_reader(sums_bytes);
+  cr_expect(decode_head(sums_reader, seen) && decode(sums_reader, summed) && summed.term == Term{4} && summed.regions == sums.regions);
+  EdgeViewFrame view, viewed;
+  view.term = Term{4};
+  view.in_force = 3;
+  const std::string view_bytes = encode(head, view);
+  ByteReader view_reader(view_bytes);
+  cr_expect(decode_head(view_reader, seen) && decode(view_reader, viewed) && viewed.term == Term{4} && viewed.in_force == 3);
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     ByteReader cut(std::string_view(bytes).substr(0, size));
     cr_expect(!decode_head(cut, seen) || !decode(cut, read), "cut after %zu bytes", size);
