--- a/src/coordination/agreement.cpp
+++ b/src/coordination/agreement.cpp
@@ -339,6 +339,7 @@
 
 void Agreement::finish_save(std::uint64_t serial, bool is_saved, Moment now) {
   save_started_.reset();
+  is_save_failing_ = !is_saved;
   if (!is_saved) {
     save_retry_ = now + 300ms;
     if (role_ == Role::leader) transfer(now);
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "protocol/core_status.h"
 #include "protocol/frames.h"
 #include "state/store.h"
 #include "state/types.h"
@@ -76,6 +77,8 @@
   // Nobody else can lead before now: a majority answered a beat that left within the least election time-out.
   bool is_leased(Moment now) const;
   std::vector<std::string> known_addresses() const;
+  // For the operator; `node` is left empty.
+  CoreStatus status(Moment now) const;
 
  private:
   struct Peer {
@@ -85,6 +88,7 @@
     std::uint64_t sent_serial = 0;  // entry serial sent at sent_at
     std::uint64_t round = 0;
     Moment leased{};  // when the beat left that it answered last
+    std::optional<Index> last{};  // of its newest entry, as it answered last in this term
   };
   struct Waiting {
     Version version;
@@ -130,6 +134,7 @@
   Durable durable_;
   std::uint64_t serial_ = 0, saved_ = 0, entry_serial_ = 0, saving_ = 0;
   std::optional<Moment> save_started_;
+  bool is_save_failing_ = false;  // the last save failed
   Moment save_retry_{};
   AgreementOptions options_;
   std::vector<std::string> contacts_;
@@ -138,6 +143,7 @@
   Role role_ = Role::follower;
   MemberId leader_id_;
   std::string leader_;
+  Index leader_last_;  // of the leader's newest entry, as it told last
   Moment heard_leader_{}, due_{}, election_{}, beat_due_{};
   bool is_removed_ = false;
   int attempts_ = 0;  // to lead, since a leader was heard
--- a/src/coordination/agreement_messages.cpp
+++ b/src/coordination/agreement_messages.cpp
@@ -73,6 +73,7 @@
   leader_id_ = message.from;
   leader_ = message.address;
   heard_leader_ = now;
+  leader_last_ = message.entry_index;
   attempts_ = 0;
   is_removed_ = false;
   set_election(now);
@@ -102,6 +103,7 @@
   if (found == peers_.end()) return take_join(message, now);
   Peer& peer = found->second;
   peer.heard = now;
+  peer.last = message.entry_index;
   if (message.round > peer.round) {
     peer.round = message.round;
     if (const auto sent = round_sent_.find(message.round); sent != round_sent_.end()) peer.leased = sent->second;
--- /dev/null
+++ b/src/coordination/agreement_status.cpp
@@ -0,0 +1,67 @@
+// What the agreement tells the operator of itself.
+#include <algorithm>
+
+#include "coordination/agreement.h"
+
+namespace saddlewing {
+namespace {
+
+std::uint64_t age(Moment since, Moment now) { return static_cast<std::uint64_t>(std::max(Span(0), span_between(since, now)).count()); }
+
+CoreStatus::Role told(Agreement::Role role) {
+  switch (role) {
+    case Agreement::Role::follower: return CoreStatus::Role::follower;
+    case Agreement::Role::pre_candidate: return CoreStatus::Role::pre_candidate;
+    case Agreement::Role::candidate: return CoreStatus::Role::candidate;
+    case Agreement::Role::leader: break;
+  }
+  return CoreStatus::Role::leader;
+}
+
+}  // namespace
+
+CoreStatus Agreement::status(Moment now) const {
+  CoreStatus status;
+  status.self = durable_.self;
+  status.address = options_.address;
+  status.role = told(role_);
+  status.is_voter = is_member(durable_.self);
+  status.is_removed = is_removed_;
+  status.term = durable_.term;
+  status.leader = leader_;
+  if (role_ == Role::follower && !leader_.empty()) status.leader_heard = age(heard_leader_, now);
+  status.last = durable_.entry->index;
+  status.leader_last = role_ == Role::leader ? status.last : leader_.empty() ? Index{} : leader_last_;
+  status.has_committed = committed_ != nullptr;
+  if (committed_) {
+    status.committed_term = committed_->term;
+    status.committed = committed_->index;
+    status.version = committed_->version;
+  }
+  status.core_size = durable_.entry->core_size;
+  status.is_confirmed = is_confirmed(now);
+  status.is_save_failing = is_save_failing_;
+  status.is_save_stuck = save_started_ && now - *save_started_ > options_.stuck;
+  if (save_started_) status.saving = age(*save_started_, now);
+  const auto add = [&](MemberId id, const std::string& address, bool is_voter) {
+    CoreStatus::Peer told{id, address, is_voter, false, false, 0, 0};
+    if (id == durable_.self) {
+      told.is_known = true;
+      told.is_matched = role_ == Role::leader && saved_ >= entry_serial_;
+    } else if (const auto found = peers_.find(id); role_ == Role::leader && found != peers_.end()) {
+      const Peer& peer = found->second;
+      told.is_known = true;
+      told.is_matched = peer.is_matched;
+      told.heard = age(peer.heard, now);
+      if (!peer.is_matched && peer.last) told.behind = status.last.value - std::min(status.last.value, peer.last->value);
+    }
+    status.peers.push_back(std::move(told));
+  };
+  for (const Member& member : durable_.entry->members) add(member.id, member.address, true);
+  if (role_ == Role::leader)
+    for (const auto& [id, asked] : learners_)
+      if (const auto found = peers_.find(id); found != peers_.end()) add(id, found->second.address, false);
+  return status;
+}
+
+}  // namespace saddlewing
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -51,6 +51,15 @@
   return saddlewing::run_edges(contacts, read.count("json") > 0, wait);
 }
 
+int core(const cxxopts::Options& options, const cxxopts::ParseResult& read, const std::vector<std::string>& words) {
+  if (!words.empty()) return usage(options, "core takes no further words");
+  std::vector<std::string> contacts;
+  int wait = 0;
+  std::string complaint;
+  if (!read_contacts(read, contacts, wait, complaint)) return usage(options, "core: " + complaint);
+  return saddlewing::run_core(contacts, read.count("json") > 0, wait);
+}
+
 int trace(const cxxopts::Options& options, const cxxopts::ParseResult& read, const std::vector<std::string>& words) {
   if (words.size() != 1 || words[0].empty() || words[0].size() > 18 || words[0].find_first_not_of("0123456789") != std::string::npos)
     return usage(options, "tracer takes one edition, a whole number");
@@ -73,13 +82,14 @@
                            "  ring WHAT       the hash ring: report, propose, status, apply FILE, undo MOVE;\n"
                            "                  move or queue, of VIRTUAL-NODE RECEIVER or account NAME RECEIVER\n"
                            "  edges           how fast each edge answers each region, and which are avoided\n"
+                           "  core            members, term, leader and catching-up, as each registry asked knows them\n"
                            "  check FILE      check a startup, a configuration or a ring file\n");
   options.positional_help("COMMAND [FILE | EDITION]");
   options.add_options()("h,help", "print this help")("version", "print the version")(
       "startup", "startup file (else SADDLEWING_NODE_FILE names it)", cxxopts::value<std::string>())(
-      "contact", "tracer, ring, edges: inner address of a node; may be given more than once", cxxopts::value<std::vector<std::string>>())(
-      "json", "tracer, ring, edges: print JSON")("wait-ms", "tracer, ring, edges: how long to wait for answers", cxxopts::value<int>()->default_value("2000"))(
-      "command", "broker, pooler, registry, tracer, ring, edges or check", cxxopts::value<std::string>())(
+      "contact", "tracer, ring, edges, core: inner address of a node; may be given more than once", cxxopts::value<std::vector<std::string>>())(
+      "json", "tracer, ring, edges, core: print JSON")("wait-ms", "tracer, ring, edges, core: how long to wait for answers", cxxopts::value<int>()->default_value("2000"))(
+      "command", "broker, pooler, registry, tracer, ring, edges, core or check", cxxopts::value<std::string>())(
       "file", "check: the file; tracer: the edition; ring: what to do", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"command", "file"});
   cxxopts::ParseResult read;
@@ -105,6 +115,7 @@
   }
   if (command == "tracer") return trace(options, read, files);
   if (command == "edges") return edges(options, read, files);
+  if (command == "core") return core(options, read, files);
   if (command == "ring") return ring(options, read, files);
   if (command != "broker" && command != "pooler" && command != "registry") return usage(options, "unknown command " + command);
   if (!files.empty()) return usage(options, command + " takes no file");
--- a/src/programs/core.cpp
+++ b/src/programs/core.cpp
@@ -66,7 +66,7 @@
 }
 
 void Core::set_contacts(const std::vector<Address>& contacts) {
-  contacts_.push(inner_addresses(contacts, startup_.inner_port));
+  contacts_.replace(inner_addresses(contacts, startup_.inner_port));
 }
 
 void Core::reach(const std::string& address) {
@@ -210,6 +210,7 @@
         break;
       }
       case FrameKind::trace: take_trace(parcel.route, now); break;
+      case FrameKind::core_status_request: tell_status(parcel.route, now); break;
       default: is_good = false;
     }
   }
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -79,6 +79,7 @@
   void take_follow(const std::string& route, const FrameHead& head, const Follow& follow, Moment now);
   void take_roster(const FrameHead& head, const Roster& roster, Moment now);
   void take_trace(const std::string& route, Moment now);
+  void tell_status(const std::string& route, Moment now);
   void add_call(OperatorCall call, std::string origin, std::uint64_t origin_token, Moment now);
   void route_calls(Moment now);
   void finish_call(std::uint64_t token, bool is_done, const std::string& body);
--- a/src/programs/follower.h
+++ b/src/programs/follower.h
@@ -115,7 +115,7 @@
   void report_ring(RingCounts counts) { ring_counts_.push(std::move(counts)); }
   void report(Evidence evidence) { evidence_.push(std::move(evidence)); }
   void set_contacts(const std::vector<Address>& contacts) {
-    contacts_.push(contacts);
+    contacts_.replace(contacts);
   }
 
  private:
--- a/src/programs/lookout.h
+++ b/src/programs/lookout.h
@@ -17,7 +17,7 @@
   Lookout(const Startup& startup, Ring<CoreEvent>& events);
   void start();
   void stop();
-  void order(WatchOrderSnapshot order) { orders_.push(std::move(order)); }
+  void order(WatchOrderSnapshot order) { orders_.replace(std::move(order)); }
 
   void on_outcome(Caller& caller, Moment now) override;
   void on_breakdown(Caller& caller, Kind kind, Moment now) override;
--- a/src/programs/pooling.h
+++ b/src/programs/pooling.h
@@ -21,7 +21,7 @@
   Fault open();
   void start() { thread_ = std::thread([this] { run(); }); }
   void set_follower(Follower& follower) { follower_ = &follower; }
-  void show(ViewSnapshot view) { views_.push(std::move(view)); }
+  void show(ViewSnapshot view) { views_.replace(std::move(view)); }
   void hold(HoldNews news) { holds_.push(std::move(news)); }
   void sample(SampleNews news) { samples_in_.push(std::move(news)); }
   void leave() {
--- a/src/programs/signals.h
+++ b/src/programs/signals.h
@@ -3,6 +3,7 @@
 #include <sys/stat.h>
 
 #include <atomic>
+#include <cerrno>
 #include <csignal>
 #include <poll.h>
 #include <functional>
@@ -21,8 +22,10 @@
     std::signal(SIGPIPE, SIG_IGN);
     struct sigaction action {};
     action.sa_handler = [](int number) {
+      const int before = errno;  // of whatever thread this came upon
       (number == SIGHUP ? should_reload_ : should_stop_) = true;
-      if (waker_) waker_->wake();
+      if (const Waker* waker = waker_) waker->wake();
+      errno = before;
     };
     for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaction(number, &action, nullptr);
   }
@@ -61,7 +64,7 @@
   }
 
   inline static std::atomic<bool> should_stop_ = false, should_reload_ = false;
-  inline static const Waker* waker_ = nullptr;
+  inline static std::atomic<const Waker*> waker_ = nullptr;  // any thread may take the signal
   Waker own_;
   long long last_change_ = 0;
 };
--- a/src/programs/traffic.cpp
+++ b/src/programs/traffic.cpp
@@ -337,7 +337,7 @@
     }
     LOG(INFO) << "alerts: " << rules.size() << " rules from " << path;
   }
-  alert_rules_.push(std::move(rules));
+  alert_rules_.replace(std::move(rules));
 }
 
 void Traffic::show_gauges() const {
--- a/src/programs/traffic.h
+++ b/src/programs/traffic.h
@@ -80,7 +80,7 @@
   Traffic(const Startup& startup, LifeId life);
   Fault open();
   void start();
-  void show(ViewSnapshot view) { views_.push(std::move(view)); }
+  void show(ViewSnapshot view) { views_.replace(std::move(view)); }
   void tell(AidEvent event) { aid_events_.push(std::move(event)); }
   void take_aid_event(AidEvent& event, Moment now);  // the traffic thread alone
   // Rules from now on; a wrong file is logged and the rules before it stay.
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -5,12 +5,6 @@
 
 constexpr std::uint64_t protocol_number = 0x5357'0003;
 
-Writer open_frame(const FrameHead& head, FrameKind kind) {
-  Writer writer;
-  writer.number(protocol_number).number(static_cast<std::uint64_t>(kind)).number(head.life.value).text(head.from);
-  return writer;
-}
-
 void write_texts(Writer& writer, const std::vector<std::string>& texts) {
   writer.number(texts.size());
   for (const std::string& text : texts) writer.text(text);
@@ -33,6 +27,12 @@
 
 }  // namespace
 
+Writer open_frame(const FrameHead& head, FrameKind kind) {
+  Writer writer;
+  writer.number(protocol_number).number(static_cast<std::uint64_t>(kind)).number(head.life.value).text(head.from);
+  return writer;
+}
+
 const char* name_of(Status status) {
   switch (status) {
     case Status::up: return "UP";
@@ -389,7 +389,7 @@
 bool decode_head(ByteReader& reader, FrameHead& head) {
   if (reader.number() != protocol_number) return false;
   const std::uint64_t kind = reader.number();
-  if (kind < static_cast<std::uint64_t>(FrameKind::raft) || kind > static_cast<std::uint64_t>(FrameKind::edge_view)) return false;
+  if (kind < static_cast<std::uint64_t>(FrameKind::raft) || kind > static_cast<std::uint64_t>(FrameKind::core_status)) return false;
   head.kind = static_cast<FrameKind>(kind);
   head.life.value = reader.number();
   head.from = reader.text();
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -30,6 +30,8 @@
   ring_answer,
   edge_sums,    // how fast edges answered, from a registry to the leader
   edge_view,    // what the leader made of it, to its peers
+  core_status_request,  // an operator asks what a registry knows of its core; see core_status.h
+  core_status,
 };
 
 struct FrameHead {
@@ -228,6 +230,8 @@
   std::string records;
 };
 
+// A frame's beginning, for encoders of this folder.
+Writer open_frame(const FrameHead& head, FrameKind kind);
 std::string encode(const FrameHead& head, const RaftMessage& value);
 std::string encode(const FrameHead& head, const Forward& value);
 std::string encode(const FrameHead& head, const Forwarded& value);
--- a/src/transport/ring.h
+++ b/src/transport/ring.h
@@ -47,6 +47,17 @@
     if (was_empty && wake_) wake_();
     return true;
   }
+  // For a reader that goes by the newest alone: what waits makes room for it, so it is never the one refused.
+  void replace(T item) {
+    bool was_empty;
+    {
+      const std::lock_guard lock(mutex_);
+      was_empty = items_.empty();
+      items_.clear();
+      items_.push_back(std::move(item));
+    }
+    if (was_empty && wake_) wake_();
+  }
   std::vector<T> take() {
     std::vector<T> taken;
     const std::lock_guard lock(mutex_);
