--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "coordination/entry_change.h"
+#include "protocol/core_status.h"
 #include "protocol/frames.h"
 #include "state/store.h"
 #include "state/types.h"
@@ -85,6 +86,8 @@
   bool is_leased(Moment now) const { return now < lease_until(); }
   Moment lease_until() const;  // the lease as it stands; Moment{} without one
   std::vector<std::string> known_addresses() const;
+  // For the operator; `node` is left empty.
+  CoreStatus status(Moment now) const;
 
  private:
   struct Peer {
@@ -167,6 +170,7 @@
   Durable durable_;
   std::uint64_t serial_ = 0, saved_ = 0, entry_serial_ = 0;
   std::optional<Moment> save_started_;
+  bool is_save_failing_ = false;  // the last save failed
   Moment save_retry_{};
   AgreementOptions options_;
   std::vector<std::string> contacts_;
@@ -175,6 +179,7 @@
   Role role_ = Role::follower;
   MemberId leader_id_;
   std::string leader_;
+  Index leader_last_;  // of the leader's newest entry, as it told last
   Moment heard_leader_{}, heard_confirmed_{}, due_{}, election_{}, beat_due_{};
   bool is_removed_ = false;  // another member says that this one is none any more
   int attempts_ = 0;         // to lead, since a leader was heard
--- a/src/coordination/agreement_append.cpp
+++ b/src/coordination/agreement_append.cpp
@@ -95,6 +95,7 @@
   leader_id_ = message.from;
   leader_ = message.address;
   heard_leader_ = now;
+  leader_last_ = message.entry_index;
   if (message.is_confirmed) heard_confirmed_ = now;
   attempts_ = 0;
   is_removed_ = false;
--- a/src/programs/core.h
+++ b/src/programs/core.h
@@ -74,6 +74,7 @@
   void take_follow(const std::string& route, const FrameHead& head, const Follow& follow, Moment now);
   void take_roster(const FrameHead& head, const Roster& roster, Moment now);
   void take_trace(const std::string& route, Moment now);
+  void tell_status(const std::string& route, Moment now);
   void route_calls(Moment now);
   void finish_call(std::uint64_t token, bool is_done, std::string body);
   Term led_in() const { return agreement_.leader_address().empty() ? Term{} : agreement_.term(); }  // a term that has a leader
