Pipelined requests that are answered at once are taken in a loop

Each was answered within the one before: 2,500 of them behind one at work ended a thread with a stack of 1 MB (of 2 MB not). The new test gives the threads 512 KB; it crashes without the mend.

--- a/src/transport/server.cpp
+++ b/src/transport/server.cpp
@@ -1,6 +1,7 @@
 #include "transport/server.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace saddlewing {
 namespace {
@@ -83,7 +84,13 @@
 }
 
 void Visit::advance(Moment now) {
-  if (in_.empty() && is_fresh_) return;
+  if (std::exchange(is_advancing_, true)) return;
+  while (state_ == State::reading && take_next(now)) {}
+  is_advancing_ = false;
+}
+
+bool Visit::take_next(Moment now) {
+  if (in_.empty() && is_fresh_) return false;
   if (is_fresh_) {
     is_fresh_ = false;
     began_ = now;
@@ -91,7 +98,10 @@
   }
   const bool had_head = reader_.has_head();
   const MessageReader::Step step = reader_.advance(in_);
-  if (step == MessageReader::Step::failed) return refuse(reader_.why(), now);
+  if (step == MessageReader::Step::failed) {
+    refuse(reader_.why(), now);
+    return false;
+  }
   if (step == MessageReader::Step::more) {
     if (!had_head && reader_.has_head()) server_.schedule_.set(*this, now + server_.limits_.quiet);
     if (reader_.has_head() && facts().is_waiting && !has_continued_ && reader_.body().empty()) {
@@ -99,12 +109,13 @@
       out_ += "HTTP/1.1 100 Continue\r\n\r\n";
       flush(now);
     }
-    return;
+    return false;
   }
   state_ = State::handling;
   server_.schedule_.drop(*this);
   is_head_ = request().getMethod() == "HEAD";
   server_.handler_.on_request(*this, now);
+  return true;
 }
 
 void Visit::refuse(Kind kind, Moment now) {
--- a/src/transport/server.h
+++ b/src/transport/server.h
@@ -52,6 +52,7 @@
   friend class Server;
   void read(Moment now);
   void advance(Moment now);
+  bool take_next(Moment now);  // whether a request was whole and handed on
   void flush(Moment now);
   void settle(Moment now);
   void refuse(Kind kind, Moment now);
@@ -67,6 +68,7 @@
   std::string in_, out_;
   std::size_t sent_ = 0, held_ = 0;
   bool should_close_ = false, is_head_ = false, has_continued_ = false, has_ended_ = false;
+  bool is_advancing_ = false;  // requests answered at once are taken in turn, not each within the one before
   bool is_fresh_ = true;  // nothing of the next request has come yet
   Moment began_{}, moved_{};
 };
--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -1,6 +1,8 @@
 // Every answer to its caller, every call once: exchanges that break at each of their bytes.
 #include "exchange_stage.h"
 
+#include <pthread.h>
+
 #include "transport/server.h"
 
 using namespace saddlewing;
@@ -229,6 +231,20 @@
   }
 }
 
+// As many as wait behind one at work, each answered at once when its turn comes, on a stack that holds but a few of them.
+Test(exchange, thousands_of_pipelined_requests_wait_behind_one_at_work) {
+  pthread_attr_t small;
+  cr_assert(::pthread_attr_init(&small) == 0 && ::pthread_attr_setstacksize(&small, 512 << 10) == 0 && ::pthread_setattr_default_np(&small) == 0);
+  BrokerStage stage(2);
+  std::vector<Exchange> exchanges(1);
+  exchanges[0].requests = {case_of("slow", false).request};
+  stage.plans["slow"] = {Trouble::silence, true, 0};
+  for (int count = 0; count < 2500; ++count) exchanges[0].requests.push_back("GET / HTTP/1.1\r\nHost:h\r\n\r\n");
+  stage.play(exchanges);
+  cr_assert(exchanges[0].statuses.size() == 2501, "%zu", exchanges[0].statuses.size());
+  cr_expect(exchanges[0].status() == 200 && std::count(exchanges[0].statuses.begin(), exchanges[0].statuses.end(), 404) == 2500);
+}
+
 namespace {
 
 // A caller alone, with the far end of its connection in hand.
