--- a/tests/aid_test.cpp
+++ b/tests/aid_test.cpp
@@ -1,5 +1,8 @@
 #include "coordination/aid.h"
 
+#include <random>
+#include <set>
+
 #include "stage.h"
 
 using namespace saddlewing;
@@ -79,8 +82,8 @@
 
 class AidStage final : public AidWork::Ground {
  public:
-  AidStage() {
-    std::vector<AidWork::Candidates> parts(3);
+  explicit AidStage(std::size_t count = 3) {
+    std::vector<AidWork::Candidates> parts(count);
     for (auto& part : parts)
       for (int copy = 0; copy < 2; ++copy) {
         part.backends.push_back(std::make_shared<Backend>());
@@ -151,3 +154,66 @@
   stage.errand->take_aided(frame({{0, "a"}, {1, "b"}, {2, "c"}, {3, "d"}}, {}, record('z')), Span(180), start + 180ms);
   cr_expect(stage.status() == 200);
 }
+
+// An aid and its asker, each asking by its own clock, frames late or lost, parts that succeed, are turned away, break off,
+// reach nobody or stay silent: what may have run of a part is never more than its tries, and no record stands for two.
+Test(aid, summed_over_the_aid_and_its_asker_no_part_is_on_more_backends_than_its_tries) {
+  enum Fate { good, turned_away, broke_off, missed, silent };
+  struct Flight {
+    Moment due;
+    bool is_aide;
+    std::size_t part;
+    Fate fate;
+    std::string name;
+  };
+  std::minstd_rand luck(7);
+  std::size_t served = 0, given_up = 0, most = 0;
+  for (int day = 0; day < 3000; ++day) {
+    const int tries = 1 + day % 3;
+    Stage asker(gathered, 4, tries);
+    asker.extra_reserve = day % 7 ? 10 : 0;
+    asker.aided_parts = day % 2 ? std::vector<std::size_t>{0, 1, 2, 3} : std::vector<std::size_t>{0, 1, 2};
+    asker.errand->start(start);
+    AidStage aide(asker.aided_parts.size());
+    std::vector<Flight> flights;
+    std::vector<std::pair<Moment, Aided>> frames;
+    std::size_t seen_by_asker = 0, seen_by_aide = 0, seen_frames = 0, number = 0;
+    std::map<std::size_t, std::size_t> may_have_run;
+    const bool loses_frames = day % 5 == 0;
+    const auto fly = [&](bool is_aide, std::size_t part, Moment now) {
+      const auto fate = static_cast<Fate>(std::max(0, static_cast<int>(luck() % 8) - 3));
+      const Span took(fate == missed ? 2 : 5 + static_cast<int>(luck() % 300));
+      if (fate != missed && fate != turned_away) most = std::max(most, ++may_have_run[part]);
+      flights.push_back({fate == silent ? Moment::max() : now + took, is_aide, part, fate, "n" + std::to_string(100 + number++)});
+    };
+    for (Moment now = start; now < start + 1000ms; now += 1ms) {
+      for (; seen_by_asker < asker.asked.size(); ++seen_by_asker) fly(false, asker.asked[seen_by_asker].part, now);
+      for (; seen_by_aide < aide.asked.size(); ++seen_by_aide) fly(true, aide.asked[seen_by_aide], now);
+      for (; seen_frames < aide.frames.size(); ++seen_frames)
+        if (!loses_frames || luck() % 2) frames.push_back({now + Span(20 + static_cast<int>(luck() % 60)), aide.frames[seen_frames]});
+      for (std::size_t index = 0; index < flights.size(); ++index) {
+        const Flight flight = flights[index];
+        if (flight.due != now) continue;
+        Asker& whose = flight.is_aide ? static_cast<Asker&>(*aide.work) : *asker.errand;
+        if (flight.fate == good) whose.take_outcome(flight.part, Stage::good(flight.name, flight.name + std::string(12, '.')), Span(30), now);
+        else if (flight.fate == turned_away) whose.take_outcome(flight.part, Stage::failed(503, true), Span(30), now);
+        else whose.take_breakdown(flight.part, flight.fate == missed ? Kind::refused_connection : Kind::broke_off, flight.fate != missed, now);
+      }
+      for (auto& [due, frame] : frames)
+        if (due == now) asker.errand->take_aided(frame, Span(40), now);
+      for (Asker* whose : {static_cast<Asker*>(aide.work.get()), static_cast<Asker*>(asker.errand.get())})
+        if (whose->is_open() && whose->next_due() <= now) whose->on_due(now);
+    }
+    for (const auto& [part, count] : may_have_run)
+      cr_expect(count <= static_cast<std::size_t>(tries), "day %d: part %zu on %zu backends, tries %d", day, part, count, tries);
+    given_up += static_cast<std::size_t>(asker.missed_aids);
+    if (asker.status() != 200) continue;
+    ++served;
+    std::set<std::string> records;
+    for (std::size_t place = 0; place < asker.final.body.size(); place += 16) {
+      const std::string name = asker.final.body.substr(place, 4);
+      cr_expect(records.insert(name).second && asker.final.fields.find(name) != std::string::npos, "day %d: %s", day, name.c_str());
+    }
+  }
+  cr_expect(served > 1000 && given_up > 300 && most == 3, "%zu served, %zu aids given up, %zu at most", served, given_up, most);
+}
