Configuration and sheets of an entry travel as separate changes

The digests of orders stand in a sheet, so that every change of a configuration touched both: half of a large body travelled with each.

--- a/src/coordination/agreement_append.cpp
+++ b/src/coordination/agreement_append.cpp
@@ -20,9 +20,9 @@
   contents_.push_back(content_of(durable_.entry));
   changes_.clear();
   std::size_t bytes = 0;
-  for (const EntryContentSnapshot& content : contents_) bytes += content->bytes.size();
+  for (const EntryContentSnapshot& content : contents_) bytes += content->size();
   while (contents_.size() > most_kept || (contents_.size() > 2 && bytes > most_kept_bytes)) {
-    bytes -= contents_.front()->bytes.size();
+    bytes -= contents_.front()->size();
     contents_.erase(contents_.begin());
   }
 }
@@ -69,7 +69,7 @@
   if (peer.change && (peer.change->head.term != durable_.term || holds(peer.change->head.term, peer.change->head.index))) peer.change = nullptr;
   if (holds(durable_.entry->term, durable_.entry->index)) return;
   if (!peer.change) {
-    if (!peer.has_told && contents_.back()->bytes.size() > sent_unasked) return;  // its first answer tells
+    if (!peer.has_told && contents_.back()->size() > sent_unasked) return;  // its first answer tells
     peer.change = change_for(peer);
     peer.sent = peer.answered = peer.told = 0;
   } else if (now - peer.sent_at > options_.beat * 3) {  // lost, or on a way that holds less
--- a/src/coordination/entry_change.cpp
+++ b/src/coordination/entry_change.cpp
@@ -14,11 +14,34 @@
 constexpr std::size_t worth_packing = 512;
 constexpr char is_plain = 0, is_packed = 1;  // the first byte on the way
 
-std::uint64_t digest_of(const std::string& bytes) { return XXH3_64bits(bytes.data(), bytes.size()); }
+std::uint64_t digest_of(const std::string& body, const std::string& sheets) {
+  const std::uint64_t digest = XXH3_64bits(body.data(), body.size());
+  return XXH3_64bits_withSeed(sheets.data(), sheets.size(), digest);
+}
+
+// What of `to` differs from `from` goes to `middle`.
+EntryPiece::Kept compare(const std::string& from, const std::string& to, std::string& middle) {
+  EntryPiece::Kept kept;
+  const std::size_t most = std::min(from.size(), to.size());
+  kept.prefix = static_cast<std::uint64_t>(std::mismatch(to.begin(), to.begin() + static_cast<std::ptrdiff_t>(most), from.begin()).first - to.begin());
+  const std::size_t rest = most - kept.prefix;
+  kept.suffix = static_cast<std::uint64_t>(std::mismatch(to.rbegin(), to.rbegin() + static_cast<std::ptrdiff_t>(rest), from.rbegin()).first - to.rbegin());
+  kept.changed = to.size() - kept.prefix - kept.suffix;
+  middle.append(to, kept.prefix, kept.changed);
+  return kept;
+}
+
+// The other way round; takes its part off the front of `middle`. False: it does not fit.
+bool restore(const EntryPiece::Kept& kept, const std::string& from, std::string_view& middle, std::string& to) {
+  if (kept.prefix > from.size() || kept.suffix > from.size() - kept.prefix || kept.changed > middle.size()) return false;
+  to.reserve(kept.prefix + kept.changed + kept.suffix);
+  to.append(from, 0, kept.prefix).append(middle.substr(0, kept.changed)).append(from, from.size() - kept.suffix);
+  middle.remove_prefix(kept.changed);
+  return true;
+}
 
-bool read_content(const std::string& bytes, Entry& entry) {
+bool read_sheets(const std::string& bytes, Entry& entry) {
   ByteReader reader(bytes);
-  entry.body = reader.text();
   for (std::uint64_t left = reader.count(16); left > 0; --left) {
     std::string name = reader.text();
     entry.sheets[std::move(name)] = reader.text();
@@ -35,11 +58,11 @@
 
 EntryContentSnapshot content_of(EntrySnapshot entry) {
   Writer writer;
-  writer.text(entry->body).number(entry->sheets.size());
+  writer.number(entry->sheets.size());
   for (const auto& [name, text] : entry->sheets) writer.text(name).text(text);
   auto content = std::make_shared<EntryContent>();
   content->entry = std::move(entry);
-  content->bytes = writer.take();
+  content->sheets = writer.take();
   return content;
 }
 
@@ -53,17 +76,15 @@
   head.core_size = entry.core_size;
   head.members = entry.members;
   head.former = entry.former;
-  head.digest = digest_of(next.bytes);
+  head.digest = digest_of(entry.body, next.sheets);
   if (base) {
     head.base_term = base->entry->term;
     head.base_index = base->entry->index;
-    const std::string &from = base->bytes, &to = next.bytes;
-    const std::size_t most = std::min(from.size(), to.size());
-    head.prefix = static_cast<std::uint64_t>(std::mismatch(to.begin(), to.begin() + static_cast<std::ptrdiff_t>(most), from.begin()).first - to.begin());
-    const std::size_t rest = most - head.prefix;
-    head.suffix = static_cast<std::uint64_t>(std::mismatch(to.rbegin(), to.rbegin() + static_cast<std::ptrdiff_t>(rest), from.rbegin()).first - to.rbegin());
   }
-  const std::string middle = next.bytes.substr(head.prefix, next.bytes.size() - head.prefix - head.suffix);
+  const std::string none;
+  std::string middle;
+  head.body = compare(base ? base->entry->body : none, entry.body, middle);
+  head.sheets = compare(base ? base->sheets : none, next.sheets, middle);
   std::string packed = middle.size() >= worth_packing ? pack(middle) : std::string();
   const bool should_pack = !packed.empty() && packed.size() < middle.size();
   change->bytes = std::string(1, should_pack ? is_packed : is_plain) + (should_pack ? packed : middle);
@@ -100,17 +121,14 @@
   } else {
     middle = travelled.substr(1);
   }
-  std::string content;
-  if (head.base_index.value || head.base_term.value) {
-    if (held->term != head.base_term || held->index != head.base_index) return Step::unusable;
-    const std::string base = content_of(held)->bytes;
-    if (head.prefix > base.size() || head.suffix > base.size() - head.prefix) return ++mismatches_, Step::unusable;
-    content = base.substr(0, head.prefix) + middle + base.substr(base.size() - head.suffix);
-  } else {
-    content = std::move(middle);
-  }
+  const bool has_base = head.base_index.value || head.base_term.value;
+  if (has_base && (held->term != head.base_term || held->index != head.base_index)) return Step::unusable;
+  const EntryContentSnapshot base = content_of(has_base ? held : std::make_shared<const Entry>());
   auto read = std::make_shared<Entry>();
-  if (digest_of(content) != head.digest || !read_content(content, *read)) return ++mismatches_, Step::unusable;
+  std::string sheets;
+  std::string_view rest = middle;
+  const bool is_restored = restore(head.body, base->entry->body, rest, read->body) && restore(head.sheets, has_base ? base->sheets : std::string(), rest, sheets);
+  if (!is_restored || digest_of(read->body, sheets) != head.digest || !read_sheets(sheets, *read)) return ++mismatches_, Step::unusable;
   read->term = head.term;
   read->index = head.index;
   read->version = head.version;
--- a/src/coordination/entry_change.h
+++ b/src/coordination/entry_change.h
@@ -14,7 +14,8 @@
 // An entry with its content as bytes, kept to find what later entries change.
 struct EntryContent {
   EntrySnapshot entry;
-  std::string bytes;  // configuration and sheets; term, index and members travel apart
+  std::string sheets;  // as they travel
+  std::size_t size() const { return entry->body.size() + sheets.size(); }
 };
 using EntryContentSnapshot = std::shared_ptr<const EntryContent>;
 EntryContentSnapshot content_of(EntrySnapshot entry);
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -56,8 +56,9 @@
   writer.number(piece.term.value).number(piece.index.value).number(piece.version.value).number(piece.core_size);
   write_members(writer, piece.members);
   write_members(writer, piece.former);
-  writer.number(piece.base_term.value).number(piece.base_index.value).number(piece.prefix).number(piece.suffix).number(piece.digest);
-  writer.number(piece.total).number(piece.offset).text(piece.bytes);
+  writer.number(piece.base_term.value).number(piece.base_index.value);
+  for (const EntryPiece::Kept& kept : {piece.body, piece.sheets}) writer.number(kept.prefix).number(kept.suffix).number(kept.changed);
+  writer.number(piece.digest).number(piece.total).number(piece.offset).text(piece.bytes);
   return writer.take();
 }
 
@@ -89,8 +90,7 @@
   read_members(reader, piece.former);
   piece.base_term.value = reader.number();
   piece.base_index.value = reader.number();
-  piece.prefix = reader.number();
-  piece.suffix = reader.number();
+  for (EntryPiece::Kept* kept : {&piece.body, &piece.sheets}) kept->prefix = reader.number(), kept->suffix = reader.number(), kept->changed = reader.number();
   piece.digest = reader.number();
   piece.total = reader.number();
   piece.offset = reader.number();
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -50,7 +50,12 @@
   std::vector<Member> members, former;
   Term base_term;                        // of the entry that it builds on; all 0: on none
   Index base_index;
-  std::uint64_t prefix = 0, suffix = 0;  // bytes of the base's content that stay
+  struct Kept {
+    std::uint64_t prefix = 0, suffix = 0;  // bytes of the base that stay
+    std::uint64_t changed = 0;             // bytes between them
+    auto operator<=>(const Kept&) const = default;
+  };
+  Kept body, sheets;
   std::uint64_t digest = 0;              // XXH3 of the whole content
   std::uint64_t total = 0, offset = 0;   // of the bytes on their way
   std::string bytes;
--- a/tests/entry_change_test.cpp
+++ b/tests/entry_change_test.cpp
@@ -50,7 +50,7 @@
 Test(entry_change, only_what_differs_travels) {
   const auto before = content_of(entry_of(7, large_body(300000, 7), "sheet")), after = content_of(entry_of(8, large_body(300000, 8), "other sheet"));
   const auto change = make_change(*after, before.get());
-  cr_expect(change->bytes.size() < 160000, "what lies between the two places travels, no more");
+  cr_expect(change->bytes.size() < 64, "two places, in the configuration and in a sheet: what differs travels, no more");
   const auto sheet_alone = make_change(*content_of(entry_of(8, large_body(300000, 7), "other")), before.get());
   cr_expect(sheet_alone->bytes.size() < 64);
   EntryAssembly assembly;
