A registry waits for settings it can use; signals before serving are kept; the disk's word is never dropped

catch_up_s negative, text or missing at a start: refused by name with one line, the process waits (test: with the line taken twice or the process ended the test fails).

--- a/src/programs/broker_program.cpp
+++ b/src/programs/broker_program.cpp
@@ -10,12 +10,12 @@
 namespace saddlewing {
 
 int run_broker(const std::string& startup_path) {
+  Signals signals(startup_path);
   Startup startup;
   if (Fault found = read_startup(startup_path, false, startup)) {
     LOG(ERROR) << "startup: " << found.text();
     return 1;
   }
-  Signals signals;
   std::random_device device;
   const LifeId life{(static_cast<std::uint64_t>(device()) << 32) | device() | 1u};
   Traffic traffic(startup, life);
--- a/src/programs/registry_program.cpp
+++ b/src/programs/registry_program.cpp
@@ -22,12 +22,13 @@
 }  // namespace
 
 int run_registry(const std::string& startup_path) {
-  Startup startup;
-  if (Fault found = read_startup(startup_path, true, startup)) {
-    LOG(ERROR) << "startup: " << found.text();
-    return 1;
+  Signals signals(startup_path);
+  std::optional<Startup> read = signals.await_startup(startup_path, true);
+  if (!read) {
+    LOG(INFO) << "registry: ended";
+    return 0;
   }
-  Signals signals;
+  Startup startup = std::move(*read);
   Store store(startup.data_folder);
   bool has_waited = false;
   const auto wait = [&] {
--- a/src/programs/signals.h
+++ b/src/programs/signals.h
@@ -8,7 +8,9 @@
 #include <poll.h>
 #include <functional>
 #include <glog/logging.h>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "state/startup.h"
 #include "transport/ring.h"
@@ -17,7 +19,8 @@
 
 class Signals {
  public:
-  Signals() {
+  // Before the file is read first, so that a change or a signal from then on is seen.
+  explicit Signals(const std::string& path) : last_change_(change_of(path)) {
     waker_ = &own_;
     std::signal(SIGPIPE, SIG_IGN);
     struct sigaction action {};
@@ -36,9 +39,20 @@
     if (::poll(&waiting, 1, milliseconds) > 0) own_.clear();
   }
   bool is_ending() const { return should_stop_; }
+  // The first settings that can be used. A wrong file is named once and waited for; nothing is begun by it. None: told to end.
+  std::optional<Startup> await_startup(const std::string& path, bool is_registry) {
+    bool was_named = false;
+    while (!should_stop_) {
+      Startup startup;
+      const Fault found = read_startup(path, is_registry, startup);
+      if (!found) return startup;
+      if (!std::exchange(was_named, true)) LOG(ERROR) << "startup: refused, waits for a better one: " << found.text();
+      wait(1000);
+    }
+    return std::nullopt;
+  }
   // Until SIGTERM; a startup read again goes to `take`, a wrong one is logged and the old one stays.
   void serve(const std::string& path, bool is_registry, const std::function<void(const Startup&)>& take) {
-    should_reload(path);
     while (!should_stop_) {
       wait(1000);
       if (!should_reload(path)) continue;
@@ -53,11 +67,14 @@
   }
 
  private:
+  // Differs when the file changed; 0: there is none.
+  static long long change_of(const std::string& path) {
+    struct stat facts {};
+    return ::stat(path.c_str(), &facts) == 0 ? facts.st_mtim.tv_sec * 1000000000ll + facts.st_mtim.tv_nsec + facts.st_size : 0;
+  }
   // True once after SIGHUP or after the file changed without one.
   bool should_reload(const std::string& path) {
-    struct stat facts {};
-    if (::stat(path.c_str(), &facts) == 0) {
-      const auto changed = facts.st_mtim.tv_sec * 1000000000ll + facts.st_mtim.tv_nsec + facts.st_size;
+    if (const long long changed = change_of(path)) {
       if (last_change_ && changed != last_change_) should_reload_ = true;
       last_change_ = changed;
     }
@@ -67,7 +84,7 @@
   inline static std::atomic<bool> should_stop_ = false, should_reload_ = false;
   inline static std::atomic<const Waker*> waker_ = nullptr;  // any thread may take the signal
   Waker own_;
-  long long last_change_ = 0;
+  long long last_change_;
 };
 
 }  // namespace saddlewing
--- a/src/programs/vault.h
+++ b/src/programs/vault.h
@@ -35,7 +35,8 @@
         const Fault found = store_.save(save.durable);
         if (found) metrics().add(Metric::saves_failed);
         if (found) LOG(ERROR) << "disk: save failed: " << found.text();
-        events_.push(Saved{save.serial, !found});
+        // Without this word nothing is saved any more, so it waits for room.
+        while (!should_stop_ && !events_.push(Saved{save.serial, !found})) std::this_thread::sleep_for(1ms);
       }
     }
   }
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -21,11 +21,12 @@
   ~KeptLines() override { google::RemoveLogSink(this); }
   void send(google::LogSeverity, const char*, const char*, int, const struct ::tm*, const char* text, size_t size) override {
     const std::string line(text, size);
+    refused += line.find("refused, waits for a better one: time_bounds.catch_up_s") != std::string::npos;
     if (line.find("kept as it was") == std::string::npos) return;
     ++lines;
     if (line.find("time_bounds.grace_s") != std::string::npos) ++fields;
   }
-  std::atomic<int> lines = 0, fields = 0;
+  std::atomic<int> lines = 0, fields = 0, refused = 0;
 };
 
 // Turns until it is so, or five seconds are over.
@@ -36,16 +37,39 @@
   return false;
 }
 
+const std::string good = R"({"node_name":"n","ip_address":"10.0.0.1","zone":"z","first_contacts":["10.0.0.2:8"],"spare_ports":[7000,7010],
+    "listens_on":{"front":"10.0.0.1:80","ready_check":"10.0.0.1:81"})";
+std::string own_path() { return "/tmp/saddlewing-reload-" + std::to_string(::getpid()) + ".json"; }
+
+// Whether a change is taken that came after the signals were set up and before anybody serves.
+bool is_early_change_taken(bool is_signalled) {
+  const std::string path = own_path();
+  std::ofstream(path) << good + "}";
+  Signals signals(path);
+  std::ofstream(path) << good + R"(,"time_bounds":{"grace_s":9}})";
+  if (is_signalled) std::raise(SIGHUP);
+  std::atomic<int> taken = 0;
+  std::thread driver([&] {
+    await([&] { return taken > 0; });
+    std::raise(SIGTERM);
+  });
+  signals.serve(path, false, [&](const Startup& changed) { taken += changed.grace == 9s; });
+  driver.join();
+  std::remove(path.c_str());
+  return taken == 1;
+}
+
 }  // namespace
 
+Test(reload, a_signal_before_serving_begins_is_not_lost) { cr_expect(is_early_change_taken(true)); }
+Test(reload, a_changed_file_before_serving_begins_is_not_lost) { cr_expect(is_early_change_taken(false)); }
+
 Test(reload, a_wrong_file_keeps_the_old_settings_and_says_the_field) {
-  const std::string path = "/tmp/saddlewing-reload-" + std::to_string(::getpid()) + ".json";
-  const std::string good = R"({"node_name":"n","ip_address":"10.0.0.1","zone":"z","first_contacts":["10.0.0.2:8"],"spare_ports":[7000,7010],
-    "listens_on":{"front":"10.0.0.1:80","ready_check":"10.0.0.1:81"})";
+  const std::string path = own_path();
   std::ofstream(path) << good + "}";
   KeptLines kept;
   std::atomic<int> taken = 0;
-  Signals signals;
+  Signals signals(path);
   std::thread driver([&] {
     for (int round = 0; round < 5; ++round) {
       const int fields = kept.fields;
@@ -77,3 +101,26 @@
   driver.join();
   std::remove(path.c_str());
 }
+
+// At a registry's start: refused by name with one line, nothing begun; as soon as the file is put right it goes on.
+Test(reload, a_registry_waits_for_settings_that_name_catch_up) {
+  const std::string path = own_path();
+  const std::string registry = R"({"node_name":"n","ip_address":"10.0.0.1","zone":"z","data_folder":"/d","first_contacts":["10.0.0.2:8"],"spare_ports":[7000,7010],
+    "listens_on":{"control":"10.0.0.1:80"},"provider_api":{"address":"10.0.0.9:80"},"time_bounds":)";
+  for (const std::string bounds : {R"({"catch_up_s":-1}})", R"({"catch_up_s":"soon"}})", "{}}"}) {
+    std::ofstream(path) << registry + bounds;
+    KeptLines kept;
+    Signals signals(path);
+    std::thread driver([&] {
+      await([&] { return kept.refused > 0; });
+      for (int round = 0; round < 3; ++round) std::raise(SIGHUP);
+      std::ofstream(path) << registry + R"({"catch_up_s":5}})";
+      std::raise(SIGHUP);
+    });
+    const std::optional<Startup> startup = signals.await_startup(path, true);
+    driver.join();
+    cr_expect(startup && startup->catch_up == 5s);
+    cr_expect(kept.refused == 1, "%d lines for %s", kept.refused.load(), bounds.c_str());
+    std::remove(path.c_str());
+  }
+}
