--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -97,6 +97,7 @@
     Term held_term;               // its last entry, as it said
     Index held_index;
     bool has_told = false;        // what it holds
+    std::uint64_t told_round = 0; // of the newest beat whose answer told it
     bool should_send_whole = false;
     EntryChangeSnapshot change;   // on its way; null: nothing is
     std::uint64_t sent = 0, answered = 0, told = 0;  // bytes of it; told: by its last answer, also one that lost some
--- a/src/coordination/agreement_append.cpp
+++ b/src/coordination/agreement_append.cpp
@@ -132,12 +132,15 @@
 
 void Agreement::note_progress(Peer& peer, const RaftMessage& message, Moment now) {
   const auto told = std::pair(message.entry_term, message.entry_index);
+  // What it held and had not synced is gone with its process: by the newest beat that it answered it may hold less than it said.
+  const bool is_newest = message.round > peer.told_round;
+  peer.told_round = std::max(peer.told_round, message.round);
   if (message.wants_whole) {  // what it holds is not what it held, or the base here is not the one there
     peer.should_send_whole = peer.has_told && told == std::pair(peer.held_term, peer.held_index);
     peer.change = nullptr;
     peer.held_term = message.entry_term;
     peer.held_index = message.entry_index;
-  } else if (!peer.has_told || told > std::pair(peer.held_term, peer.held_index)) {
+  } else if (!peer.has_told || is_newest || told > std::pair(peer.held_term, peer.held_index)) {
     peer.held_term = message.entry_term;
     peer.held_index = message.entry_index;
     peer.should_send_whole = false;
--- a/tests/entry_change_test.cpp
+++ b/tests/entry_change_test.cpp
@@ -102,6 +102,25 @@
   cr_expect(assembly.take(make_change(*next, nullptr)->piece(0), entry_of(6, "six"), entry) == EntryAssembly::Step::whole);
 }
 
+// A follower says that it holds an entry before its disk has it, and its process ends there: the leader sends it again.
+Test(entry_change, an_entry_that_ended_with_the_process_before_its_sync_is_sent_again) {
+  Cluster cluster(3);
+  cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+  cluster.run(500ms);
+  const std::string leader = cluster.leader();
+  std::vector<std::string> others;
+  for (const std::string& founder : cluster.founders())
+    if (founder != leader) others.push_back(founder);
+  cluster.at(others[0]).is_stuck = true;
+  cluster.stop(others[1]);
+  const std::uint64_t token = cluster.propose(7, "seven");
+  cluster.run(40ms);
+  cluster.stop(others[0]);
+  cluster.at(others[0]).is_stuck = false;
+  cluster.start(others[0]);
+  cr_expect(cluster.run_until([&] { return cluster.is_done(leader, token) && cluster.body_at(others[0]) == "seven"; }, 1000ms));
+}
+
 // A member is away, comes back (with its disk, or wiped, or with a slow one) while changes go on and on: it catches up, no
 // beat waits behind what it gets, and it neither leads nor tells old state meanwhile.
 Test(entry_change, whoever_was_away_catches_up_while_changes_go_on) {
