--- a/tools/model_trace.cpp
+++ b/tools/model_trace.cpp
@@ -50,6 +50,7 @@
     item["node"] = step.node;
     item["other"] = step.other;
     item["value"] = Json::Int64(step.value);
+    item["group"] = step.group;
     root["steps"].append(item);
   }
   root["broken"]["check"] = violation.check;
@@ -86,19 +87,19 @@
     if (!read_number(setup[number.name], number.least, number.most, value)) return path + ": setup." + number.name + " is out of range";
     number.set(walk.setup, value);
   }
-  std::uint32_t group = 0;
+  std::size_t count = 0;
   Micros last = 0;
   for (const Json::Value& item : steps) {
-    const std::string where = path + ": step " + std::to_string(++group);
-    std::int64_t at = 0, node = 0, other = 0, value = 0;
+    const std::string where = path + ": step " + std::to_string(++count);
+    std::int64_t at = 0, node = 0, other = 0, value = 0, group = 0;
     if (!item.isObject() || !item["act"].isString()) return where + " is no step";
     const auto act = act_of(item["act"].asString());
     if (!act) return where + " does what is unknown";
     if (!read_number(item["at"], last, walk.setup.length, at) || !read_number(item["node"], 0, 999, node) || !read_number(item["other"], 0, 999, other) ||
-        !read_number(item["value"], 0, 1'000'000'000, value) || (*act == Act::disk && value > 3))
+        !read_number(item["value"], 0, 1'000'000'000, value) || !read_number(item["group"], 0, 1'000'000'000, group) || (*act == Act::disk && value > 3))
       return where + " is out of range";
     last = at;
-    walk.steps.push_back({at, *act, static_cast<int>(node), static_cast<int>(other), value, group});
+    walk.steps.push_back({at, *act, static_cast<int>(node), static_cast<int>(other), value, static_cast<std::uint32_t>(group)});
   }
   violation = {broken["check"].isString() ? broken["check"].asString() : "", broken["text"].isString() ? broken["text"].asString() : "", 0};
   return {};
--- a/tools/model_walk.cpp
+++ b/tools/model_walk.cpp
@@ -46,6 +46,8 @@
     setup.late = static_cast<int>(chance(2) ? between(0, 10) : 0);
     setup.delay = between(200, 20'000);
     setup.jitter = between(100, 30'000);
+    is_slow_ = chance(4);
+    if (is_slow_) setup.delay = between(5'000, 150'000), setup.jitter = between(50'000, 600'000);  // votes cross each other
     setup.drift = static_cast<int>(chance(2) ? between(0, 10) : 0);
     setup.planted = ranges_.planted;
     for (int number = 1; number <= setup.members + setup.spares; ++number) machines_.insert(number);
@@ -77,9 +79,12 @@
 
   void draw_fault(Micros at) {
     ++group_;
-    const int kind = static_cast<int>(between(0, 15));
-    const int machine = any_machine();
-    const Micros span = chance(3) ? between(50, 400) * 1'000 : between(200, 12'000) * 1'000, end = at + span;
+    int kind = static_cast<int>(between(0, 15));
+    // Over so slow a network nobody can be replaced within catch_up, so nobody goes for good.
+    if (is_slow_ && (kind == 5 || kind == 11 || kind == 12)) kind = 15;
+    const bool has_place = kind == 5 || kind == 11 || kind == 12;
+    const int machine = has_place || chance(2) ? any_machine() : 0;  // 0: the leader of the moment
+    const Micros span = chance(4) ? between(2, 60) * 1'000 : chance(4) ? between(50, 400) * 1'000 : chance(2) ? between(600, 2'500) * 1'000 : between(200, 12'000) * 1'000, end = at + span;
     if (kind == 0) return draw_power(at);
     if (kind == 1) {
       std::erase_if(lost_, [&](const auto& item) { return item.second <= at; });
@@ -125,7 +130,7 @@
   void draw_power(Micros at) {
     if (at < power_until_) return;
     const std::int64_t down = between(10, 2'000);
-    while (chance(2)) {
+    while (!is_slow_ && chance(2)) {
       const int machine = any_machine();
       if (!may_lose(machine, at)) break;
       lose(machine, at);
@@ -133,7 +138,12 @@
       add(at + down * 1'000, Act::start, machine);
     }
     add(at, Act::power, 0, down);
-    power_until_ = at + down * 1'000 + 400'000 + walk_.setup.catch_up;
+    Micros last = at + down * 1'000;
+    for (int again = chance(3) ? static_cast<int>(between(1, 8)) : 0; again; --again) {  // and again, when they have hardly begun
+      const std::int64_t pause = between(5, 900);
+      add(last += pause * 1'000, Act::power, 0, pause);
+    }
+    power_until_ = last + 2'000'000 + walk_.setup.catch_up;
     for (auto& [machine, until] : lost_) until = std::max(until, power_until_);
   }
 
@@ -142,7 +152,7 @@
     const Micros pause = between(20, 2'000) * 1'000;
     for (Micros at = 500'000; at < walk_.setup.length; at += between(0, pause * 2)) {
       ++group_;
-      const int node = static_cast<int>(between(1, next_machine_ - 1));
+      const int node = chance(3) ? 0 : static_cast<int>(between(1, next_machine_ - 1));
       if (chance(2)) add(at, Act::read, node);
       else add(at, Act::write, node, chance(8) ? std::max<std::int64_t>(1, version - between(0, 2)) : version += between(1, 3));
     }
@@ -155,6 +165,7 @@
   std::map<int, Micros> lost_;  // until when each counts as lost
   Micros storm_until_ = 0, power_until_ = 0;
   int next_machine_ = 0;
+  bool is_slow_ = false;
   std::uint32_t group_ = 0;
 };
 
@@ -174,7 +185,7 @@
 
 std::string describe(const Step& step) {
   std::string text = name_of(step.act);
-  text += " " + std::to_string(step.node);
+  text += step.node || step.act >= Act::broker_stop ? " " + std::to_string(step.node) : " the leader";
   if (step.other) text += " and " + std::to_string(step.other);
   if (step.value) text += ", " + std::to_string(step.value);
   return text;
--- a/tools/model_world.cpp
+++ b/tools/model_world.cpp
@@ -67,7 +67,8 @@
   const std::uint64_t noise = XXH3_64bits_withSeed(words, sizeof words, setup.seed);
   const auto part = [&](int shift, std::uint64_t size) { return static_cast<int>((noise >> shift) % size); };
   if (part(0, 1000) < (is_healed_ ? 0 : std::max(setup.loss, storm_))) return;
-  const auto way = [&](int shift) { return setup.delay + (setup.jitter ? static_cast<Micros>((noise >> shift) % static_cast<std::uint64_t>(setup.jitter)) : 0); };
+  const Micros least = is_healed_ ? std::min<Micros>(setup.delay, 20'000) : setup.delay, jitter = is_healed_ ? std::min<Micros>(setup.jitter, 30'000) : setup.jitter;
+  const auto way = [&](int shift) { return least + (jitter ? static_cast<Micros>((noise >> shift) % static_cast<std::uint64_t>(jitter)) : 0); };
   Micros delay = way(10);
   if (!is_healed_ && part(20, 1000) < setup.late) delay += 300'000 + static_cast<Micros>((noise >> 30) % 8'000'000);
   if (!is_healed_ && part(40, 1000) < setup.doubling) push(now_ + way(34) + (part(50, 4) ? 0 : 2'000'000), Event::Kind::deliver, from, to, 0, content);
@@ -104,13 +105,21 @@
 
 void World::apply(const Step& step) {
   const bool is_broker = step.act >= Act::broker_stop;
-  Machine* found = machine(is_broker ? first_broker + step.node : step.node);
+  int number = is_broker ? first_broker + step.node : step.node;
+  if (number == 0) {  // the leader of the moment; whatever ends goes to the one that it began with
+    const auto [place, is_new] = chosen_.try_emplace(step.group, 0);
+    if (is_new)
+      for (const auto& [candidate, node] : nodes_)
+        if (node->is_up && node->agreement->is_leader() && (!place->second || node->agreement->term() > nodes_[place->second]->agreement->term())) place->second = candidate;
+    number = place->second;
+  }
+  Machine* found = machine(number);
   say("-- " + describe(step));
   if (step.act == Act::power) {
     for (auto& [number, node] : nodes_) {
       if (!node->is_up) continue;
       stop_node(*node, true);
-      push(now_ + step.value * 1000 + static_cast<Micros>(draw(1) % 400'000), Event::Kind::start, 0, number, 0, {});
+      push(now_ + step.value * 1000 + static_cast<Micros>(draw(1) % (draw(9) % 2 ? 5'000 : 400'000)), Event::Kind::start, 0, number, 0, {});
     }
     return;
   }
@@ -157,10 +166,10 @@
     case Act::cut: node.cut = static_cast<int>(step.value); break;
     case Act::mend: node.cut = 0; break;
     case Act::cut_link:
-      if (step.value & 1) links_[{step.other, step.node}] = true;
-      if (step.value & 2) links_[{step.node, step.other}] = true;
+      if (step.value & 1) links_[{step.other, number}] = true;
+      if (step.value & 2) links_[{number, step.other}] = true;
       break;
-    case Act::mend_link: links_[{step.other, step.node}] = links_[{step.node, step.other}] = false; break;
+    case Act::mend_link: links_[{step.other, number}] = links_[{number, step.other}] = false; break;
     case Act::disk: {
       const bool was_stalled = node.mode == DiskMode::stalled;
       node.mode = static_cast<DiskMode>(step.value);
--- a/tools/model_world.h
+++ b/tools/model_world.h
@@ -174,6 +174,7 @@
   std::map<std::pair<int, int>, bool> links_;  // cut, from and to
   std::map<std::pair<int, int>, std::uint64_t> sent_;
   std::vector<Granted> granted_;
+  std::map<std::uint32_t, int> chosen_;  // by group of steps, who led when it began
   int storm_ = 0;
   bool is_healed_ = false;
   History history_;
