--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -27,6 +27,8 @@
   std::uint64_t draw = 1;      // differs by process
 };
 
+struct AgreementProbe;
+
 class Agreement {
  public:
   enum class Role { follower, pre_candidate, candidate, leader };
@@ -78,6 +80,7 @@
   std::vector<std::string> known_addresses() const;
 
  private:
+  friend struct AgreementProbe;  // tools/model_probe.h: tells states apart
   struct Peer {
     std::string address;
     Moment heard{}, sent_at{};
--- a/tools/model.cpp
+++ b/tools/model.cpp
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <thread>
 
+#include "model_explore.h"
 #include "model_walk.h"
 
 using namespace saddlewing::model;
@@ -104,6 +105,21 @@
   return found ? 1 : 0;
 }
 
+// Its verdict is the same each time.
+int explore_all(const Bounds& bounds, std::chrono::steady_clock::time_point begin) {
+  const Explored explored = explore(bounds);
+  std::printf("%d members, %d time-outs, %d crashes, %d overtakings, %d broken links, %d doublings, %d orders, %d reads: ", bounds.members, bounds.timeouts, bounds.crashes, bounds.overtakings, bounds.breaks, bounds.doublings, bounds.orders, bounds.reads);
+  std::printf("%llu states, %llu moves, depth %zu, %.1f s: ", static_cast<unsigned long long>(explored.states), static_cast<unsigned long long>(explored.moves), explored.depth,
+              std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count());
+  if (explored.found) {
+    std::printf("broken: %s: %s\n", explored.found->check.c_str(), explored.found->text.c_str());
+    for (const std::string& move : explored.path) std::printf("  %s\n", move.c_str());
+    return 1;
+  }
+  std::printf(explored.is_whole ? "all within the bounds, nothing broken\n" : "not all within the bounds: stopped at the most states; nothing broken in these\n");
+  return 0;
+}
+
 // Every planted fault in turn must be found.
 int check_checker(Wanted wanted) {
   int missed = 0;
@@ -124,20 +140,27 @@
 int main(int count, char** words) {
   cxxopts::Options options("saddlewing_model", "Explores a model of the control side. See docs/model.md.");
   Wanted wanted;
+  Bounds bounds;
   std::string span;
   int members = 0;
+  bool is_exploring = false;
   options.add_options()("walks", "random walks", cxxopts::value(wanted.walks)->default_value("1000"))("seed", "of the first; each next has the next", cxxopts::value(wanted.seed)->default_value("1"))(
       "for", "at most so long, as 90s, 30m, 2h; alone: walks without end", cxxopts::value(span))("members", "founders, 1 to 9; 0: 3 to 7 by the seed", cxxopts::value(members)->default_value("0"))(
       "brokers", "most brokers", cxxopts::value(wanted.ranges.most_brokers)->default_value("4"))("seconds", "simulated length of a walk", cxxopts::value(wanted.ranges.seconds)->default_value("60"))(
       "threads", "walks at a time", cxxopts::value(wanted.threads)->default_value("1"))("shrink", "most runs to shrink a failing walk", cxxopts::value(wanted.shrink)->default_value("2000"))(
       "trace", "file for the shrunk walk that failed", cxxopts::value(wanted.trace))("replay", "file of a walk to run again, step by step", cxxopts::value(wanted.replay))(
-      "plant", "a fault that must be found; all: each in turn", cxxopts::value(wanted.planted))("h,help", "print this help");
+      "plant", "a fault that must be found; all: each in turn", cxxopts::value(wanted.planted))("explore", "every order of events of a small core, instead of walks")(
+      "timeouts", "explored: clocks that run on", cxxopts::value(bounds.timeouts)->default_value("3"))("crashes", "explored: crashes", cxxopts::value(bounds.crashes)->default_value("1"))(
+      "overtakings", "explored: messages that come before others of their link", cxxopts::value(bounds.overtakings)->default_value("0"))("breaks", "explored: links that break", cxxopts::value(bounds.breaks)->default_value("0"))(
+      "doublings", "explored: messages that come twice", cxxopts::value(bounds.doublings)->default_value("0"))("orders", "explored: orders", cxxopts::value(bounds.orders)->default_value("2"))(
+      "reads", "explored: reads", cxxopts::value(bounds.reads)->default_value("1"))("states", "explored: most states", cxxopts::value(bounds.most_states)->default_value("5000000"))("h,help", "print this help");
   try {
     const auto parsed = options.parse(count, words);
     if (parsed.count("help")) {
       std::cout << options.help();
       return 0;
     }
+    is_exploring = parsed.count("explore");
     if (!parsed.unmatched().empty()) return complain("unknown word " + parsed.unmatched().front());
     if (parsed.count("for") && !parsed.count("walks")) wanted.walks = ~0ull >> 1;
   } catch (const cxxopts::exceptions::exception& thrown) {
@@ -151,13 +174,24 @@
   if (wanted.walks < 1 || wanted.shrink < 0) return complain("--walks and --shrink want a number above");
   if (members) wanted.ranges.least_members = wanted.ranges.most_members = members;
   if (!wanted.replay.empty()) return replay(wanted.replay);
-  if (wanted.planted == "all") return check_checker(wanted);
+  if (wanted.planted == "all" && !is_exploring) return check_checker(wanted);
+  if (is_exploring && wanted.planted == "all") return complain("--explore wants one planted fault at a time");
   if (!wanted.planted.empty()) {
     const auto planted = planted_of(wanted.planted);
     if (!planted) return complain("unknown fault to plant: " + wanted.planted);
     wanted.ranges.planted = *planted;
   }
   const auto begin = std::chrono::steady_clock::now();
+  if (is_exploring) {
+    if (members == 1 || members > 5) return complain("--members is out of 2 to 5 where every order is explored");
+    for (const int bound : {bounds.timeouts, bounds.crashes, bounds.overtakings, bounds.breaks, bounds.doublings, bounds.orders, bounds.reads})
+      if (bound < 0 || bound > 20) return complain("a bound of what is explored is out of 0 to 20");
+    if (bounds.most_states < 1) return complain("--states wants a number above");
+    if (!can_explore(wanted.ranges.planted) && wanted.ranges.planted != Planted::none) return complain("this fault is planted in walks alone");
+    if (members) bounds.members = members;
+    bounds.planted = wanted.ranges.planted;
+    return explore_all(bounds, begin);
+  }
   const Outcome outcome = walk_all(wanted, wanted.ranges.planted != Planted::none);
   tell(outcome.tally, begin);
   if (outcome.seed) return report(wanted, outcome);
--- a/tools/model_checks.cpp
+++ b/tools/model_checks.cpp
@@ -21,8 +21,26 @@
   return XXH3_64bits(text.data(), text.size());
 }
 
+std::uint64_t mix(std::uint64_t digest, std::uint64_t value) { return XXH3_64bits_withSeed(&value, sizeof value, digest); }
+
 }  // namespace
 
+std::uint64_t History::digest() const {
+  std::uint64_t digest = 0;
+  for (const Call& call : calls_)
+    for (const std::uint64_t value : {std::uint64_t{call.is_read}, static_cast<std::uint64_t>(call.version), XXH3_64bits(call.body.data(), call.body.size()), call.invoked, call.returned}) digest = mix(digest, value);
+  return digest;
+}
+
+std::uint64_t Ledger::digest() const {
+  std::uint64_t digest = 0;
+  for (const auto& [term, leader] : leaders_)
+    for (const std::uint64_t value : {term, leader.first, leader.second}) digest = mix(digest, value);
+  for (const auto& [index, committed] : entries_)
+    for (const std::uint64_t value : {index, committed.term.value, committed.digest}) digest = mix(digest, value);
+  return digest;
+}
+
 std::size_t History::start(bool is_read, std::int64_t version) {
   calls_.push_back({is_read, version, is_read ? std::string() : std::to_string(calls_.size()), ++clock_, 0});
   return calls_.size() - 1;
--- a/tools/model_checks.h
+++ b/tools/model_checks.h
@@ -19,6 +19,7 @@
   bool is_finished(std::size_t call) const { return calls_[call].returned != 0; }
   std::size_t size() const { return calls_.size(); }
   std::int64_t version_of(std::size_t call) const { return calls_[call].version; }
+  std::uint64_t digest() const;
   // Empty: linearizable. Exact: see docs/model.md.
   std::string check() const;
 
@@ -42,6 +43,7 @@
   void acknowledge(Version version);
   const std::optional<Violation>& found() const { return found_; }
   void fail(const char* check, std::string text);
+  std::uint64_t digest() const;
   std::uint64_t terms() const { return leaders_.size(); }
   std::uint64_t commits() const { return entries_.size(); }
   Version highest() const { return highest_; }
--- /dev/null
+++ b/tools/model_explore.cpp
@@ -0,0 +1,311 @@
+#include "model_explore.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <set>
+#include <unordered_set>
+
+#include "coordination/agreement.h"
+#include "model_checks.h"
+#include "model_probe.h"
+#include "protocol/frames.h"
+
+namespace saddlewing::model {
+
+namespace {
+
+std::uint64_t mix(std::uint64_t digest, std::uint64_t value) { return XXH3_64bits_withSeed(&value, sizeof value, digest); }
+std::uint64_t mix(std::uint64_t digest, const std::string& text) { return XXH3_64bits_withSeed(text.data(), text.size(), digest); }
+
+struct Node {
+  std::unique_ptr<Agreement> agreement;
+  Durable disk, disk_before;
+  std::optional<Agreement::Save> pending;
+  Moment now = Moment{} + 1000s;
+  std::uint64_t life = 0, digest = 0;
+  EntrySnapshot noted;
+
+  Node() = default;
+  Node(const Node& other)
+      : agreement(std::make_unique<Agreement>(*other.agreement)), disk(other.disk), disk_before(other.disk_before), pending(other.pending), now(other.now), life(other.life), digest(other.digest),
+        noted(other.noted) {}
+};
+
+struct Letter {
+  std::size_t from = 0, to = 0;
+  std::uint64_t digest = 0;
+  std::shared_ptr<const RaftMessage> message;
+};
+
+struct State {
+  std::vector<std::shared_ptr<const Node>> nodes;
+  std::vector<Letter> letters;
+  Ledger ledger;
+  History history;
+  int timeouts = 0, crashes = 0, doublings = 0, overtakings = 0, breaks = 0, orders = 0, reads = 0;
+};
+
+constexpr Span far{1500}, near{151};  // of a clock that runs on; elections are drawn up to 1,400 ms
+
+struct Seen {
+  std::size_t operator()(std::uint64_t digest) const { return digest; }
+};
+
+class Explorer {
+ public:
+  explicit Explorer(const Bounds& bounds) : bounds_(bounds) {}
+
+  Explored run() {
+    State state;
+    auto entry = std::make_shared<Entry>();
+    for (int number = 0; number < bounds_.members; ++number) {
+      addresses_.push_back("10.0.0." + std::to_string(number + 1) + ":7");
+      entry->members.push_back({MemberId{static_cast<std::uint64_t>(number) + 1}, addresses_.back()});
+    }
+    for (std::size_t number = 0; number < addresses_.size(); ++number) {
+      Node node;
+      node.disk = node.disk_before = {MemberId{number + 1}, {}, {}, entry};
+      state.nodes.push_back(nullptr);
+      start(state, number, node);
+      // Founded: the first save is over, and the first look at the clock too.
+      while (node.pending) end_save(state, number, node);
+      state.nodes[number] = std::make_shared<Node>(node);
+    }
+    explored_.is_whole = visit(state);
+    explored_.states = seen_.size();
+    return std::move(explored_);
+  }
+
+ private:
+  using Change = std::function<void(State&)>;
+
+  // False: it was broken off.
+  bool visit(const State& state) {
+    if (state.ledger.found()) {
+      explored_.found = state.ledger.found();
+      explored_.path = path_;
+      return false;
+    }
+    if (!seen_.insert(digest_of(state)).second) return true;
+    explored_.depth = std::max(explored_.depth, path_.size());
+    if (seen_.size() >= bounds_.most_states) return false;
+    const auto follow = [&](std::string text, const Change& change) {
+      ++explored_.moves;
+      State next = state;
+      change(next);
+      path_.push_back(std::move(text));
+      const bool is_whole = visit(next);
+      path_.pop_back();
+      return is_whole;
+    };
+    for (std::size_t number = 0; number < state.nodes.size(); ++number)
+      if (!visit_node(state, number, follow)) return false;
+    std::unordered_set<std::uint64_t> tried;
+    std::set<std::pair<std::size_t, std::size_t>> links;
+    for (std::size_t place = 0; place < state.letters.size(); ++place) {
+      const Letter& letter = state.letters[place];
+      const bool is_first = links.emplace(letter.from, letter.to).second;
+      if (!is_first && (state.overtakings >= bounds_.overtakings || !tried.insert(mix(letter.digest, letter.to)).second)) continue;
+      if (is_first) tried.insert(mix(letter.digest, letter.to));
+      const RaftMessage& message = *letter.message;
+      const std::string text = "message " + std::to_string(static_cast<int>(message.type)) + " of " + std::to_string(message.from.value) + " in term " + std::to_string(message.term.value) + " reaches " +
+                               std::to_string(letter.to + 1) + (message.is_granted ? ", granted" : "");
+      const auto deliver = [&](State& next) {
+        Node node = *next.nodes[letter.to];
+        RaftMessage copy = message;
+        const bool is_answer = copy.type == RaftMessage::Type::appended;
+        if (bounds_.planted == Planted::lower_term_obeyed && (is_answer || (copy.type == RaftMessage::Type::append && copy.term < node.agreement->term()))) copy.term = node.agreement->term();
+        node.agreement->receive(copy, node.now);
+        settle(next, letter.to, node);
+      };
+      if (!follow(text, [&](State& next) {
+            next.overtakings += !is_first;
+            next.letters.erase(next.letters.begin() + static_cast<std::ptrdiff_t>(place));
+            deliver(next);
+          }))
+        return false;
+      if (is_first && state.breaks < bounds_.breaks && !follow("the link from " + std::to_string(letter.from + 1) + " to " + std::to_string(letter.to + 1) + " breaks", [&](State& next) {
+            ++next.breaks;
+            std::erase_if(next.letters, [&](const Letter& other) { return other.from == letter.from && other.to == letter.to; });
+          }))
+        return false;
+      if (state.doublings < bounds_.doublings && !follow(text + ", and comes again", [&](State& next) {
+            ++next.doublings;
+            deliver(next);
+          }))
+        return false;
+    }
+    return true;
+  }
+
+  template <class F>
+  bool visit_node(const State& state, std::size_t number, const F& follow) {
+    const Node& present = *state.nodes[number];
+    const std::string name = std::to_string(number + 1);
+    if (present.pending && !follow("save of " + name + " ends", [&](State& next) {
+          Node node = *next.nodes[number];
+          end_save(next, number, node);
+        }))
+      return false;
+    // Far: whatever was drawn is over, and a leader that heard nobody steps down. Near, for a leader: its beat.
+    for (const Span span : {far, near}) {
+      if (state.timeouts >= bounds_.timeouts || (span == near && !present.agreement->is_leader())) continue;
+      if (!follow("clock of " + name + (span == far ? " runs on far" : " runs on to its beat"), [&](State& next) {
+            ++next.timeouts;
+            Node node = *next.nodes[number];
+            node.now += span;
+            settle(next, number, node);
+          }))
+        return false;
+    }
+    for (int is_kept = 0; state.crashes < bounds_.crashes && is_kept < (present.pending ? 2 : 1); ++is_kept)
+      if (!follow(name + " crashes and starts" + (is_kept ? ", its last save was kept" : ""), [&](State& next) {
+            ++next.crashes;
+            Node node = *next.nodes[number];
+            if (is_kept) node.disk = node.pending->durable;
+            else if (bounds_.planted == Planted::folder_sync_left_out) node.disk = node.disk_before;
+            start(next, number, node);
+          }))
+        return false;
+    if (!present.agreement->is_leader()) return true;
+    if (state.orders < bounds_.orders && !follow(name + " is given an order", [&](State& next) {
+          const std::int64_t version = ++next.orders;
+          Node node = *next.nodes[number];
+          const std::size_t call = next.history.start(false, version);
+          node.agreement->propose(Version{version}, std::to_string(call), call + 1, node.now);
+          settle(next, number, node);
+        }))
+      return false;
+    return state.reads >= bounds_.reads || follow(name + " is asked", [&](State& next) {
+             ++next.reads;
+             Node node = *next.nodes[number];
+             const std::size_t call = next.history.start(true, 0);
+             const EntrySnapshot& committed = node.agreement->committed();
+             if (bounds_.planted == Planted::read_without_majority && committed) {
+               next.history.finish_read(call, committed->version.value, committed->body);
+               check(next);
+             } else {
+               node.agreement->confirm_read(call + 1, node.now);
+             }
+             settle(next, number, node);
+           });
+  }
+
+  void start(State& state, std::size_t number, Node& node) {
+    ++node.life;
+    node.pending.reset();
+    node.noted = nullptr;
+    if (node.life > 1) {
+      if (bounds_.planted == Planted::vote_forgotten) node.disk.vote = {};
+      if (bounds_.planted == Planted::wiped_under_old_id) node.disk = {node.disk.self, {}, {}, std::make_shared<Entry>()};
+      if (bounds_.planted == Planted::snapshot_without_term && node.disk.entry->index.value) {
+        auto entry = std::make_shared<Entry>(*node.disk.entry);
+        entry->term = {};
+        node.disk.entry = std::move(entry);
+      }
+    }
+    node.disk_before = node.disk;
+    AgreementOptions options;
+    options.address = addresses_[number];
+    options.draw = number * 100 + node.life;
+    node.agreement = std::make_unique<Agreement>(node.disk, options, addresses_, node.now);
+    settle(state, number, node);
+  }
+
+  void end_save(State& state, std::size_t number, Node& node) {
+    const std::uint64_t serial = node.pending->serial;
+    node.disk_before = node.disk;
+    node.disk = node.pending->durable;
+    node.pending.reset();
+    if (bounds_.planted != Planted::answer_before_sync) node.agreement->finish_save(serial, true, node.now);
+    settle(state, number, node);
+  }
+
+  // What the core's loop does after each event, and what comes of it.
+  void settle(State& state, std::size_t number, Node& node) {
+    node.agreement->tick(node.now);
+    for (bool is_early = true; is_early;) {
+      is_early = false;
+      Agreement::Output output = node.agreement->take(node.now);
+      const EntrySnapshot& committed = node.agreement->committed();
+      if (node.agreement->is_leader()) state.ledger.lead(node.agreement->term(), node.agreement->self(), node.life);
+      if (committed && committed != node.noted) {
+        if (node.noted && std::pair(committed->term, committed->index) < std::pair(node.noted->term, node.noted->index)) state.ledger.fail("no node goes back", "node " + std::to_string(number + 1));
+        state.ledger.commit(*committed);
+        node.noted = committed;
+      }
+      for (Agreement::Outgoing& outgoing : output.messages) {
+        const auto to = std::find(addresses_.begin(), addresses_.end(), outgoing.to);
+        if (to == addresses_.end()) continue;
+        const std::uint64_t digest = mix(0, encode(FrameHead{FrameKind::raft, {}, {}}, outgoing.message));
+        state.letters.push_back({number, static_cast<std::size_t>(to - addresses_.begin()), digest, std::make_shared<RaftMessage>(std::move(outgoing.message))});
+      }
+      for (const Agreement::Result& result : output.results) {
+        if (result.verdict != Agreement::Verdict::done) continue;
+        const std::size_t call = result.token - 1;
+        if (result.state) {
+          state.history.finish_read(call, result.state->version.value, result.state->body);
+        } else {
+          state.history.finish_write(call);
+          state.ledger.acknowledge(Version{state.history.version_of(call)});
+        }
+        check(state);
+      }
+      if (!output.save) continue;
+      node.pending = std::move(output.save);
+      if (bounds_.planted != Planted::answer_before_sync) continue;
+      node.agreement->finish_save(node.pending->serial, true, node.now);
+      is_early = true;
+    }
+    node.digest = mix(AgreementProbe::look(*node.agreement, node.now), node.life);
+    node.digest = mix(node.digest, encode_durable(node.disk));
+    if (bounds_.planted != Planted::none) node.digest = mix(node.digest, encode_durable(node.disk_before));
+    node.digest = mix(node.digest, node.pending ? node.pending->serial + 1 : 0);
+    state.nodes[number] = std::make_shared<Node>(node);
+  }
+
+  void check(State& state) {
+    if (const std::string text = state.history.check(); !text.empty()) state.ledger.fail("linearizable", text);
+  }
+
+  std::uint64_t digest_of(const State& state) const {
+    std::uint64_t digest = mix(state.ledger.digest(), state.history.digest());
+    for (const auto& node : state.nodes) digest = mix(digest, node->digest);
+    std::vector<std::uint64_t> links(state.nodes.size() * state.nodes.size());  // between links there is no order
+    for (const Letter& letter : state.letters) {
+      std::uint64_t& link = links[letter.from * state.nodes.size() + letter.to];
+      link = mix(link, letter.digest);
+    }
+    for (const std::uint64_t link : links) digest = mix(digest, link);
+    for (const int count : {state.timeouts, state.crashes, state.doublings, state.overtakings, state.breaks, state.orders, state.reads}) digest = mix(digest, static_cast<std::uint64_t>(count));
+    return digest;
+  }
+
+  Bounds bounds_;
+  std::vector<std::string> addresses_;
+  std::unordered_set<std::uint64_t, Seen> seen_;
+  std::vector<std::string> path_;
+  Explored explored_;
+};
+
+}  // namespace
+
+bool can_explore(Planted planted) {
+  switch (planted) {
+    case Planted::answer_before_sync:
+    case Planted::vote_forgotten:
+    case Planted::read_without_majority:
+    case Planted::lower_term_obeyed:
+    case Planted::snapshot_without_term:
+    case Planted::folder_sync_left_out:
+    case Planted::wiped_under_old_id: return true;
+    default: return false;
+  }
+}
+
+Explored explore(const Bounds& bounds) { return Explorer(bounds).run(); }
+
+}  // namespace saddlewing::model
