--- a/tools/model.cpp
+++ b/tools/model.cpp
@@ -125,7 +125,17 @@
   int missed = 0;
   for (int number = 1; number < planted_count; ++number) {
     wanted.ranges.planted = static_cast<Planted>(number);
+    wanted.ranges.is_beyond = true;  // closer upon each other: what the project's code bears, the fault need not
     const auto begin = std::chrono::steady_clock::now();
+    if (wanted.ranges.planted == Planted::vote_forgotten) {  // it takes a moment that walks hardly meet
+      Bounds bounds{3, 2, 1, 0, 0, 0, 0, 0, 5'000'000, Planted::vote_forgotten};
+      const Explored explored = explore(bounds);
+      const bool is_found = explored.found && is_found_by(bounds.planted, explored.found->check);
+      std::printf("%-24s %s explored, %llu states, %llu moves\n", name_of(bounds.planted), is_found ? explored.found->check.c_str() : "NOT FOUND,", static_cast<unsigned long long>(explored.states),
+                  static_cast<unsigned long long>(explored.moves));
+      missed += !is_found;
+      continue;
+    }
     const Outcome outcome = walk_all(wanted, true);
     std::printf("%-24s %s ", name_of(wanted.ranges.planted), outcome.seed ? outcome.violation.check.c_str() : "NOT FOUND,");
     tell(outcome.tally, begin);
@@ -149,7 +159,7 @@
       "brokers", "most brokers", cxxopts::value(wanted.ranges.most_brokers)->default_value("4"))("seconds", "simulated length of a walk", cxxopts::value(wanted.ranges.seconds)->default_value("60"))(
       "threads", "walks at a time", cxxopts::value(wanted.threads)->default_value("1"))("shrink", "most runs to shrink a failing walk", cxxopts::value(wanted.shrink)->default_value("2000"))(
       "trace", "file for the shrunk walk that failed", cxxopts::value(wanted.trace))("replay", "file of a walk to run again, step by step", cxxopts::value(wanted.replay))(
-      "plant", "a fault that must be found; all: each in turn", cxxopts::value(wanted.planted))("explore", "every order of events of a small core, instead of walks")(
+      "plant", "a fault that must be found; all: each in turn", cxxopts::value(wanted.planted))("beyond", "walks with faults beyond the losses allowed", cxxopts::value(wanted.ranges.is_beyond))("explore", "every order of events of a small core, instead of walks")(
       "timeouts", "explored: clocks that run on", cxxopts::value(bounds.timeouts)->default_value("3"))("crashes", "explored: crashes", cxxopts::value(bounds.crashes)->default_value("1"))(
       "overtakings", "explored: messages that come before others of their link", cxxopts::value(bounds.overtakings)->default_value("0"))("breaks", "explored: links that break", cxxopts::value(bounds.breaks)->default_value("0"))(
       "doublings", "explored: messages that come twice", cxxopts::value(bounds.doublings)->default_value("0"))("orders", "explored: orders", cxxopts::value(bounds.orders)->default_value("2"))(
@@ -180,6 +190,7 @@
     const auto planted = planted_of(wanted.planted);
     if (!planted) return complain("unknown fault to plant: " + wanted.planted);
     wanted.ranges.planted = *planted;
+    wanted.ranges.is_beyond = true;
   }
   const auto begin = std::chrono::steady_clock::now();
   if (is_exploring) {
--- a/tools/model_checks.h
+++ b/tools/model_checks.h
@@ -75,4 +75,17 @@
   return lists;
 }
 
+// A planted fault: what an old leader sends counts as if it were of the present term.
+template <class M>
+void obey_lower_term(M& message, Term term) {
+  message.term = message.entry_term = term;
+  if constexpr (requires { message.piece; }) {
+    if (message.piece) message.piece->term = term;
+  } else if (message.entry) {
+    auto entry = std::make_shared<Entry>(*message.entry);
+    entry->term = term;
+    message.entry = std::move(entry);
+  }
+}
+
 }  // namespace saddlewing::model
--- a/tools/model_explore.cpp
+++ b/tools/model_explore.cpp
@@ -51,7 +51,7 @@
 
 constexpr std::uint64_t sampled = 16;  // one merged state in so many is looked at again
 
-constexpr Span far{1500}, near{151};  // of a clock that runs on; elections are drawn up to 1,400 ms
+constexpr Span far{2200}, near{151};  // of a clock that runs on; the longest wait is 2,100 ms, after a transfer of the lead
 
 struct Seen {
   std::size_t operator()(std::uint64_t digest) const { return digest; }
@@ -147,8 +147,7 @@
       const auto deliver = [&](State& next) {
         Node node = *next.nodes[letter.to];
         RaftMessage copy = message;
-        const bool is_answer = copy.type == RaftMessage::Type::appended;
-        if (bounds_.planted == Planted::lower_term_obeyed && (is_answer || (copy.type == RaftMessage::Type::append && copy.term < node.agreement->term()))) copy.term = node.agreement->term();
+        if (bounds_.planted == Planted::lower_term_obeyed && copy.type == RaftMessage::Type::append && copy.term < node.agreement->term()) obey_lower_term(copy, node.agreement->term());
         node.agreement->receive(copy, node.now);
         settle(next, letter.to, node);
       };
--- a/tools/model_nodes.cpp
+++ b/tools/model_nodes.cpp
@@ -229,8 +229,7 @@
 
 void World::receive(Node& node, int from, RaftMessage& message) {
   const Planted planted = walk_.setup.planted;
-  const bool is_append = message.type == RaftMessage::Type::append;
-  if (planted == Planted::lower_term_obeyed && ((is_append && message.term < node.agreement->term()) || message.type == RaftMessage::Type::appended)) message.term = node.agreement->term();
+  if (planted == Planted::lower_term_obeyed && message.type == RaftMessage::Type::append && message.term < node.agreement->term()) obey_lower_term(message, node.agreement->term());
   if (planted == Planted::learner_counted_early && message.type == RaftMessage::Type::appended && message.from.value > 1000 && node.agreement->is_leader() && node.agreement->committed()) {
     const EntrySnapshot& last = node.pending ? node.pending->durable.entry : node.disk.entry;
     message.is_granted = true;
--- a/tools/model_trace.cpp
+++ b/tools/model_trace.cpp
@@ -25,7 +25,7 @@
 constexpr Number numbers[] = {
     SADDLEWING_NUMBER(members, 1, 9),         SADDLEWING_NUMBER(spares, 0, 9),  SADDLEWING_NUMBER(brokers, 0, 100),   SADDLEWING_NUMBER(length, 0, 86'400'000'000),
     SADDLEWING_NUMBER(catch_up, 0, 600'000'000), SADDLEWING_NUMBER(loss, 0, 1000), SADDLEWING_NUMBER(doubling, 0, 1000), SADDLEWING_NUMBER(late, 0, 1000),
-    SADDLEWING_NUMBER(delay, 0, 10'000'000),  SADDLEWING_NUMBER(jitter, 0, 10'000'000), SADDLEWING_NUMBER(drift, 0, 100)};
+    SADDLEWING_NUMBER(delay, 0, 10'000'000),  SADDLEWING_NUMBER(jitter, 0, 10'000'000), SADDLEWING_NUMBER(drift, 0, 100), SADDLEWING_NUMBER(is_beyond, 0, 1)};
 #undef SADDLEWING_NUMBER
 
 bool read_number(const Json::Value& value, std::int64_t least, std::int64_t most, std::int64_t& number) {
--- a/tools/model_walk.cpp
+++ b/tools/model_walk.cpp
@@ -49,6 +49,7 @@
     is_slow_ = chance(4);
     if (is_slow_) setup.delay = between(5'000, 150'000), setup.jitter = between(50'000, 600'000);  // votes cross each other
     setup.drift = static_cast<int>(chance(2) ? between(0, 10) : 0);
+    setup.is_beyond = ranges_.is_beyond;
     setup.planted = ranges_.planted;
     for (int number = 1; number <= setup.members + setup.spares; ++number) machines_.insert(number);
     next_machine_ = setup.members + setup.spares + 1;
@@ -73,15 +74,16 @@
   // Whether one more machine may be lost now.
   bool may_lose(int machine, Micros at) {
     std::erase_if(lost_, [&](const auto& item) { return item.second <= at; });
-    return at >= storm_until_ && at >= power_until_ && !lost_.contains(machine) && static_cast<int>(lost_.size()) < walk_.setup.can_lose();
+    return at >= storm_until_ && at >= power_until_ && !lost_.contains(machine) && static_cast<int>(lost_.size()) < (walk_.setup.is_beyond ? walk_.setup.members : walk_.setup.can_lose());
   }
-  void lose(int machine, Micros until) { lost_[machine] = until + walk_.setup.catch_up; }
+  Micros catch_up() const { return walk_.setup.is_beyond ? 0 : walk_.setup.catch_up; }
+  void lose(int machine, Micros until) { lost_[machine] = until + catch_up(); }
 
   void draw_fault(Micros at) {
     ++group_;
     int kind = static_cast<int>(between(0, 15));
     // Over so slow a network nobody can be replaced within catch_up, so nobody goes for good.
-    if (is_slow_ && (kind == 5 || kind == 11 || kind == 12)) kind = 15;
+    if (is_slow_ && !walk_.setup.is_beyond && (kind == 5 || kind == 11 || kind == 12)) kind = 15;
     const bool has_place = kind == 5 || kind == 11 || kind == 12;
     const int machine = has_place || chance(2) ? any_machine() : 0;  // 0: the leader of the moment
     const Micros span = chance(4) ? between(2, 60) * 1'000 : chance(4) ? between(50, 400) * 1'000 : chance(2) ? between(600, 2'500) * 1'000 : between(200, 12'000) * 1'000, end = at + span;
@@ -89,9 +91,9 @@
     if (kind == 1) {
       std::erase_if(lost_, [&](const auto& item) { return item.second <= at; });
       if (!lost_.empty() || at < storm_until_ || at < power_until_) return;
-      storm_until_ = std::min(end, at + 6'000'000) + walk_.setup.catch_up;
+      storm_until_ = std::min(end, at + 6'000'000) + catch_up();
       add(at, Act::storm, 0, between(50, 700));
-      return add(storm_until_ - walk_.setup.catch_up, Act::calm, 0);
+      return add(storm_until_ - catch_up(), Act::calm, 0);
     }
     if (kind == 2 && walk_.setup.brokers) return add(at, Act::mark, machine);
     if ((kind == 3 || kind == 4) && walk_.setup.brokers) {
@@ -122,6 +124,16 @@
         lost_[next_machine_ - 1] = lost_[machine];  // the successor counts in its stead
         lost_.erase(machine);
         break;
+      case 13: {  // it comes up and fails again, in the midst of whatever it answered
+        Micros last = at;
+        for (std::int64_t again = between(2, 8); again; --again) {
+          const Micros pause = between(2, 30) * 1'000;
+          add(last, Act::stop, machine), add(last + pause, Act::start, machine);
+          last += pause + between(10, 400) * 1'000;
+        }
+        lose(machine, last);
+        break;
+      }
       default: add(at, Act::stop, machine), add(end, Act::start, machine); break;
     }
   }
@@ -130,7 +142,7 @@
   void draw_power(Micros at) {
     if (at < power_until_) return;
     const std::int64_t down = between(10, 2'000);
-    while (!is_slow_ && chance(2)) {
+    while ((!is_slow_ || walk_.setup.is_beyond) && chance(2)) {
       const int machine = any_machine();
       if (!may_lose(machine, at)) break;
       lose(machine, at);
@@ -143,7 +155,7 @@
       const std::int64_t pause = between(5, 900);
       add(last += pause * 1'000, Act::power, 0, pause);
     }
-    power_until_ = last + 2'000'000 + walk_.setup.catch_up;
+    power_until_ = last + 2'000'000 + catch_up();
     for (auto& [machine, until] : lost_) until = std::max(until, power_until_);
   }
 
--- a/tools/model_walk.h
+++ b/tools/model_walk.h
@@ -74,6 +74,7 @@
   int loss = 0, doubling = 0, late = 0;  // messages per thousand
   Micros delay = 5'000, jitter = 10'000;
   int drift = 0;        // clocks run apart by up to so many parts in 10,000
+  bool is_beyond = false;  // faults beyond the losses allowed: it need not be well after healing, all else must hold
   Planted planted = Planted::none;
   int can_lose() const { return (members - 1) / 2; }
 };
@@ -100,6 +101,7 @@
 struct Ranges {
   int least_members = 3, most_members = 7, most_brokers = 4;
   int seconds = 60;
+  bool is_beyond = false;
   Planted planted = Planted::none;
 };
 
--- a/tools/model_world.cpp
+++ b/tools/model_world.cpp
@@ -253,7 +253,8 @@
       heal();
       continue;
     }
-    if (is_healed_ && event_at >= look_at) {
+    if (setup.is_beyond && event_at > setup.length + 5'000'000) break;
+    if (is_healed_ && !setup.is_beyond && event_at >= look_at) {
       look_at = event_at + look_every;
       const bool is_late = now_ > setup.length + setup.catch_up + heal_bound;
       if (well_at < 0 && is_well(is_late)) {
