--- a/src/programs/signals.h
+++ b/src/programs/signals.h
@@ -3,11 +3,14 @@
 #include <sys/stat.h>
 
 #include <atomic>
+#include <cerrno>
 #include <csignal>
 #include <poll.h>
 #include <functional>
 #include <glog/logging.h>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "state/startup.h"
 #include "transport/ring.h"
@@ -16,13 +19,16 @@
 
 class Signals {
  public:
-  Signals() {
+  // Before the file is read first, so that a change or a signal from then on is seen.
+  explicit Signals(const std::string& path) : last_change_(change_of(path)) {
     waker_ = &own_;
     std::signal(SIGPIPE, SIG_IGN);
     struct sigaction action {};
     action.sa_handler = [](int number) {
+      const int before = errno;  // of whatever thread this came upon
       (number == SIGHUP ? should_reload_ : should_stop_) = true;
-      if (waker_) waker_->wake();
+      if (const Waker* waker = waker_) waker->wake();
+      errno = before;
     };
     for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaction(number, &action, nullptr);
   }
@@ -32,9 +38,21 @@
     pollfd waiting{own_.descriptor(), POLLIN, 0};
     if (::poll(&waiting, 1, milliseconds) > 0) own_.clear();
   }
+  bool is_ending() const { return should_stop_; }
+  // The first settings that can be used. A wrong file is named once and waited for; nothing is begun by it. None: told to end.
+  std::optional<Startup> await_startup(const std::string& path, bool is_registry) {
+    bool was_named = false;
+    while (!should_stop_) {
+      Startup startup;
+      const Fault found = read_startup(path, is_registry, startup);
+      if (!found) return startup;
+      if (!std::exchange(was_named, true)) LOG(ERROR) << "startup: refused, waits for a better one: " << found.text();
+      wait(1000);
+    }
+    return std::nullopt;
+  }
   // Until SIGTERM; a startup read again goes to `take`, a wrong one is logged and the old one stays.
   void serve(const std::string& path, bool is_registry, const std::function<void(const Startup&)>& take) {
-    should_reload(path);
     while (!should_stop_) {
       wait(1000);
       if (!should_reload(path)) continue;
@@ -49,11 +67,14 @@
   }
 
  private:
+  // Differs when the file changed; 0: there is none.
+  static long long change_of(const std::string& path) {
+    struct stat facts {};
+    return ::stat(path.c_str(), &facts) == 0 ? facts.st_mtim.tv_sec * 1000000000ll + facts.st_mtim.tv_nsec + facts.st_size : 0;
+  }
   // True once after SIGHUP or after the file changed without one.
   bool should_reload(const std::string& path) {
-    struct stat facts {};
-    if (::stat(path.c_str(), &facts) == 0) {
-      const auto changed = facts.st_mtim.tv_sec * 1000000000ll + facts.st_mtim.tv_nsec + facts.st_size;
+    if (const long long changed = change_of(path)) {
       if (last_change_ && changed != last_change_) should_reload_ = true;
       last_change_ = changed;
     }
@@ -61,9 +82,9 @@
   }
 
   inline static std::atomic<bool> should_stop_ = false, should_reload_ = false;
-  inline static const Waker* waker_ = nullptr;
+  inline static std::atomic<const Waker*> waker_ = nullptr;  // any thread may take the signal
   Waker own_;
-  long long last_change_ = 0;
+  long long last_change_;
 };
 
 }  // namespace saddlewing
--- a/src/protocol/frames.cpp
+++ b/src/protocol/frames.cpp
@@ -3,13 +3,7 @@
 namespace saddlewing {
 namespace {
 
-constexpr std::uint64_t protocol_number = 0x5357'0003;
-
-Writer open_frame(const FrameHead& head, FrameKind kind) {
-  Writer writer;
-  writer.number(protocol_number).number(static_cast<std::uint64_t>(kind)).number(head.life.value).text(head.from);
-  return writer;
-}
+constexpr std::uint64_t protocol_number = 0x5357'0004;
 
 void write_texts(Writer& writer, const std::vector<std::string>& texts) {
   writer.number(texts.size());
@@ -33,6 +27,12 @@
 
 }  // namespace
 
+Writer open_frame(const FrameHead& head, FrameKind kind) {
+  Writer writer;
+  writer.number(protocol_number).number(static_cast<std::uint64_t>(kind)).number(head.life.value).text(head.from);
+  return writer;
+}
+
 const char* name_of(Status status) {
   switch (status) {
     case Status::up: return "UP";
@@ -44,43 +44,8 @@
   return "UNKNOWN";
 }
 
-std::string encode(const FrameHead& head, const RaftMessage& value) {
-  Writer writer = open_frame(head, FrameKind::raft);
-  writer.number(static_cast<std::uint64_t>(value.type)).number(value.from.value).text(value.address).number(value.term.value);
-  writer.number(value.entry_term.value).number(value.entry_index.value).number(value.commit.value).number(value.round);
-  writer.number(value.is_granted).number(value.is_transfer).number(value.is_removed).text(value.leader);
-  write_members(writer, value.members);
-  writer.number(value.entry != nullptr);
-  if (value.entry) write_entry(writer, *value.entry);
-  return writer.take();
-}
-
-bool decode(ByteReader& reader, RaftMessage& value) {
-  if (!read_enum(reader, value.type, RaftMessage::Type::joined)) return false;
-  value.from.value = reader.number();
-  value.address = reader.text();
-  value.term.value = reader.number();
-  value.entry_term.value = reader.number();
-  value.entry_index.value = reader.number();
-  value.commit.value = reader.number();
-  value.round = reader.number();
-  value.is_granted = reader.number();
-  value.is_transfer = reader.number();
-  value.is_removed = reader.number();
-  value.leader = reader.text();
-  read_members(reader, value.members);
-  if (reader.number()) {
-    auto entry = std::make_shared<Entry>();
-    read_entry(reader, *entry);
-    value.entry = std::move(entry);
-  }
-  return reader.is_whole();
-}
-
 std::string encode(const FrameHead& head, const Forward& value) {
-  Writer writer = open_frame(head, FrameKind::forward);
-  writer.number(value.token).number(value.is_read).number(value.version.value).text(value.body);
-  return writer.take();
+  return open_frame(head, FrameKind::forward).number(value.token).number(value.is_read).number(value.version.value).text(value.body).number(value.term.value).take();
 }
 
 bool decode(ByteReader& reader, Forward& value) {
@@ -88,17 +53,22 @@
   value.is_read = reader.number();
   value.version = read_version(reader);
   value.body = reader.text();
+  value.term.value = reader.number();
   return reader.is_whole();
 }
 
 std::string encode(const FrameHead& head, const Forwarded& value) {
-  Writer writer = open_frame(head, FrameKind::forwarded);
-  writer.number(value.token).number(value.is_done).text(value.body);
-  return writer.take();
+  return open_frame(head, FrameKind::forwarded).number(value.token).number(value.asker.value).number(value.is_read).number(value.version.value).number(value.digest)
+      .number(value.term.value).number(value.is_done).text(value.body).take();
 }
 
 bool decode(ByteReader& reader, Forwarded& value) {
   value.token = reader.number();
+  value.asker.value = reader.number();
+  value.is_read = reader.number();
+  value.version = read_version(reader);
+  value.digest = reader.number();
+  value.term.value = reader.number();
   value.is_done = reader.number();
   value.body = reader.text();
   return reader.is_whole();
@@ -107,10 +77,9 @@
 std::string encode(const FrameHead& head, const Follow& value) {
   Writer writer = open_frame(head, FrameKind::follow);
   writer.number(value.version.value).number(value.roster_life).number(value.roster_mark).number(value.wants_body).number(value.wants_roster);
-  writer.text(value.region).number(value.is_ready).number(value.seats_mark);
-  writer.number(value.token).number(value.leads_mark).text(value.locality).text(value.failing).text(value.fine).text(value.samples);
+  writer.text(value.region).number(value.is_ready).number(value.seats_mark).number(value.token).number(value.leads_mark).text(value.locality).text(value.failing).text(value.fine).text(value.samples);
   writer.number(value.samples_age).number(value.ring_mark).number(value.ring_held).text(value.ring_loads).text(value.account_loads).number(value.lookups).number(value.late_lookups);
-  writer.text(value.edge_counts).number(value.edges_held).number(value.echo).number(value.gap);
+  writer.text(value.edge_counts).number(value.edges_held).number(value.echo_life.value).number(value.echo).number(value.gap);
   return writer.take();
 }
 
@@ -138,6 +107,7 @@
   value.late_lookups = reader.number();
   value.edge_counts = reader.text();
   value.edges_held = reader.number();
+  value.echo_life.value = reader.number();
   value.echo = reader.number();
   value.gap = reader.number();
   return reader.is_whole();
@@ -145,18 +115,18 @@
 
 std::string encode(const FrameHead& head, const Beat& value) {
   Writer writer = open_frame(head, FrameKind::beat);
-  writer.number(value.version.value).number(value.in_force.value).number(value.is_confirmed).number(value.is_filled).number(value.is_leader);
-  writer.text(value.locality).text(value.region).number(value.brokers);
-  writer.number(value.grant).number(value.grant_valid);
+  writer.number(value.term.value).number(value.asker.value).number(value.token).number(value.version.value).number(value.in_force.value).number(value.is_confirmed).number(value.is_filled).number(value.is_leader);
+  writer.text(value.locality).text(value.region).number(value.brokers).number(value.grant).number(value.grant_valid);
   write_texts(writer, value.registries);
   writer.number(value.seats_mark).number(value.seats.size());
   for (const BrokerSeat& seat : value.seats) writer.text(seat.address).text(seat.region);
-  writer.number(value.token).number(value.hold).number(value.leads_mark).text(value.leads).text(value.samples).number(value.serial).number(value.ring_mark).text(value.ring);
+  writer.number(value.hold).number(value.leads_mark).text(value.leads).text(value.samples).number(value.serial).number(value.ring_mark).text(value.ring);
   writer.number(value.edges_in_force).text(value.edges);
   return writer.take();
 }
 
 bool decode(ByteReader& reader, Beat& value) {
+  value.term.value = reader.number(), value.asker.value = reader.number(), value.token = reader.number();
   value.version = read_version(reader);
   value.in_force = read_version(reader);
   value.is_confirmed = reader.number();
@@ -174,7 +144,6 @@
     seat.address = reader.text();
     seat.region = reader.text();
   }
-  value.token = reader.number();
   value.hold = reader.number();
   value.leads_mark = reader.number();
   value.leads = reader.text();
@@ -188,9 +157,7 @@
 }
 
 std::string encode(const FrameHead& head, const Body& value) {
-  Writer writer = open_frame(head, FrameKind::body);
-  writer.number(value.version.value).text(value.body);
-  return writer.take();
+  return open_frame(head, FrameKind::body).number(value.version.value).text(value.body).take();
 }
 
 bool decode(ByteReader& reader, Body& value) {
@@ -336,8 +303,7 @@
 }
 
 bool decode(ByteReader& reader, RingCall& value) {
-  value.verb = reader.text();
-  value.text = reader.text();
+  value.verb = reader.text(), value.text = reader.text();
   return reader.is_whole();
 }
 
@@ -355,12 +321,13 @@
 
 std::string encode(const FrameHead& head, const EdgeSums& value) {
   Writer writer = open_frame(head, FrameKind::edge_sums);
-  writer.number(value.regions.size());
+  writer.number(value.term.value).number(value.regions.size());
   for (const auto& [region, counts] : value.regions) writer.text(region).text(counts);
   return writer.take();
 }
 
 bool decode(ByteReader& reader, EdgeSums& value) {
+  value.term.value = reader.number();
   value.regions.resize(reader.count(16));
   for (auto& [region, counts] : value.regions) {
     region = reader.text();
@@ -371,12 +338,13 @@
 
 std::string encode(const FrameHead& head, const EdgeViewFrame& value) {
   Writer writer = open_frame(head, FrameKind::edge_view);
-  writer.number(value.in_force).text(value.view).number(value.ways.size());
+  writer.number(value.term.value).number(value.in_force).text(value.view).number(value.ways.size());
   for (const auto& [way, least] : value.ways) writer.text(way.first).text(way.second).number(static_cast<std::uint64_t>(least * 1000));
   return writer.take();
 }
 
 bool decode(ByteReader& reader, EdgeViewFrame& value) {
+  value.term.value = reader.number();
   value.in_force = reader.number();
   value.view = reader.text();
   for (std::uint64_t left = reader.count(24); left > 0; --left) {
@@ -389,7 +357,7 @@
 bool decode_head(ByteReader& reader, FrameHead& head) {
   if (reader.number() != protocol_number) return false;
   const std::uint64_t kind = reader.number();
-  if (kind < static_cast<std::uint64_t>(FrameKind::raft) || kind > static_cast<std::uint64_t>(FrameKind::edge_view)) return false;
+  if (kind < static_cast<std::uint64_t>(FrameKind::raft) || kind > static_cast<std::uint64_t>(FrameKind::core_status)) return false;
   head.kind = static_cast<FrameKind>(kind);
   head.life.value = reader.number();
   head.from = reader.text();
--- a/src/protocol/frames.h
+++ b/src/protocol/frames.h
@@ -30,6 +30,8 @@
   ring_answer,
   edge_sums,    // how fast edges answered, from a registry to the leader
   edge_view,    // what the leader made of it, to its peers
+  core_status_request,  // an operator asks what a registry knows of its core; see core_status.h
+  core_status,
 };
 
 struct FrameHead {
@@ -38,35 +40,68 @@
   std::string from;  // inner address of the sender; empty for a tool
 };
 
+// A part of an entry on its way: the entry's head, and some of the bytes by which its content differs from an entry that the
+// receiver holds. A large entry travels in many, so that no beat waits behind it.
+struct EntryPiece {
+  Term term;
+  Index index;
+  Version version;
+  std::uint32_t core_size = 0;
+  std::vector<Member> members, former;
+  Term base_term;                        // of the entry that it builds on; all 0: on none
+  Index base_index;
+  struct Kept {
+    std::uint64_t prefix = 0, suffix = 0;  // bytes of the base that stay
+    std::uint64_t changed = 0;             // bytes between them
+    auto operator<=>(const Kept&) const = default;
+  };
+  Kept body, sheets;
+  std::uint64_t digest = 0;              // XXH3 of the whole content
+  std::uint64_t total = 0, offset = 0;   // of the bytes on their way
+  std::string bytes;
+};
+
 struct RaftMessage {
-  enum class Type : std::uint64_t { pre_vote, pre_voted, vote, voted, append, appended, transfer, join, joined };
+  enum class Type : std::uint64_t { pre_vote, pre_voted, vote, voted, append, appended, transfer, join, joined, leave, left };
   Type type{};
   MemberId from;
   std::string address;
   Term term;
   Term entry_term;      // the sender's last entry
   Index entry_index;
-  Index commit;
+  Index commit;         // of append: the newest entry of this term that is committed
   std::uint64_t round = 0;
   bool is_granted = false;
   bool is_transfer = false;  // the vote follows a hand-over: a live leader is no objection
   bool is_removed = false;     // the receiver is no member any more
-  EntrySnapshot entry;           // with append, when the follower lacks it
+  bool is_confirmed = false;    // of append: a majority answered the leader of late
+  std::optional<EntryPiece> piece;  // with append, while the follower lacks the entry
+  // With appended: how far the entry on its way came; is_granted says that the entry named above is on disk.
+  Index piece_index;
+  std::uint64_t piece_end = 0;
+  bool wants_whole = false;     // what came built on an entry that is not held
   std::vector<Member> members;  // with joined
   std::string leader;           // with joined: its inner address
 };
 
 struct Forward {
-  std::uint64_t token = 0;
+  std::uint64_t token = 0;  // counted anew in each life of the sender, which the head names
   bool is_read = false;
   Version version;
   std::string body;
+  Term term;                // as known to the sender
 };
 
+// Names what it answers: whoever asked believes nothing else.
 struct Forwarded {
   std::uint64_t token = 0;
+  LifeId asker;
+  bool is_read = false;
+  Version version;           // as asked
+  std::uint64_t digest = 0;  // of the body sent with the call
+  Term term;                 // of the sender; of a read: it led in it when a majority confirmed the answer
   bool is_done = false;
-  std::string body;  // of a read
+  std::string body;          // what was read, or the acknowledgement
 };
 
 struct Follow {
@@ -77,8 +112,8 @@
   std::string region;
   bool is_ready = false;
   std::uint64_t seats_mark = 0;  // of the seats it knows
+  std::uint64_t token = 0;       // names the moment of asking; holds and grants count from there
   // Of a pooler:
-  std::uint64_t token = 0;       // names the moment of asking; holds count from there
   std::uint64_t leads_mark = 0;  // the table of leads it acts by; 0 of a broker
   std::string locality;          // empty of a broker
   std::string failing, fine;     // a bit for each lead of that table: nothing but breakdowns of late; heard of late
@@ -93,7 +128,8 @@
   // Of a broker, where the view of edges is on:
   std::string edge_counts;       // to its feed, since the last
   std::uint64_t edges_held = 0;  // mark of the newest view it has
-  std::uint64_t echo = 0, gap = 0;  // the last beat heard of this registry, and milliseconds since
+  LifeId echo_life;              // of this registry, as the last beat heard of it named it;
+  std::uint64_t echo = 0, gap = 0;  // that beat, and milliseconds since
 };
 
 // A broker as others may ask it for aid.
@@ -103,11 +139,14 @@
 };
 
 struct Beat {
+  Term term;                  // in which the sender leads or follows a leader; 0: it knows of none
+  LifeId asker;               // the broker's life that it is for
+  std::uint64_t token = 0;    // of that broker's last follow
   Version version;
   Version in_force;           // every broker heard of late holds it, or the wait for that is over
   bool is_confirmed = false;  // a quorum stands behind it
   bool is_filled = false;     // its roster was refilled since it started
-  bool is_leader = false;
+  bool is_leader = false;     // it leads in that term, under a lease
   std::string locality, region;  // of the registry
   std::uint64_t brokers = 0;  // brokers heard of late
   std::uint64_t grant = 0;    // thousandths of a further try, from the leader alone
@@ -116,7 +155,6 @@
   std::uint64_t seats_mark = 0;         // of the ready brokers
   std::vector<BrokerSeat> seats;        // they themselves, unless the broker knows this mark already
   // To a pooler:
-  std::uint64_t token = 0;       // of the follow answered last
   std::uint64_t hold = 0;        // milliseconds from that follow's leaving; 0: none granted
   std::uint64_t leads_mark = 0;
   std::string leads;             // the table, unless the pooler has this mark
@@ -141,9 +179,11 @@
 };
 
 struct EdgeSums {
+  Term term;
   std::vector<std::pair<std::string, std::string>> regions;  // by region of the asking brokers: counts as they travel
 };
 struct EdgeViewFrame {
+  Term term;  // in which the sender leads
   std::uint64_t in_force = 0;
   std::string view;                                             // empty: there is none yet
   std::map<std::pair<std::string, std::string>, double> ways;   // see EdgeJudge
@@ -228,6 +268,8 @@
   std::string records;
 };
 
+// A frame's beginning, for encoders of this folder.
+Writer open_frame(const FrameHead& head, FrameKind kind);
 std::string encode(const FrameHead& head, const RaftMessage& value);
 std::string encode(const FrameHead& head, const Forward& value);
 std::string encode(const FrameHead& head, const Forwarded& value);
--- a/tools/model_nodes.cpp
+++ b/tools/model_nodes.cpp
@@ -29,11 +29,6 @@
   return false;
 }
 
-template <class O>
-void set_catch_up(O& options, Span catch_up) {
-  if constexpr (requires { options.catch_up = catch_up; }) options.catch_up = catch_up;
-}
-
 }  // namespace
 
 World::Node& World::add_node(int number) {
@@ -77,7 +72,7 @@
   options.address = node.address;
   options.voters = static_cast<std::uint32_t>(setup.can_lose()) * 2 + 1;
   options.draw = draw(4);
-  set_catch_up(options, Span(setup.catch_up / 1000));
+  options.silent = silent_span(Span(setup.catch_up / 1000), options.election);
   const Moment now = local(node);
   const Span election = options.election;
   node.agreement = std::make_unique<Agreement>(node.disk, options, contacts(), now);
