--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -33,6 +33,8 @@
 // A voter that is silent is replaced well before a loss may count as made good.
 inline Span silent_span(Span catch_up, Span election) { return std::max(election * 3 / 2, std::min(catch_up / 4, Span(3000))); }
 
+struct AgreementProbe;
+
 class Agreement {
  public:
   enum class Role { follower, pre_candidate, candidate, leader };
@@ -90,6 +92,7 @@
   CoreStatus status(Moment now) const;
 
  private:
+  friend struct AgreementProbe;  // tools/model_probe.h: tells states apart
   struct Peer {
     std::string address;
     Moment heard{};
