A change of a settings file that was missing at first is not lost

Missing when the signals were set up, then read once it came, and changed before serving began: the first look only noted its time.

--- a/src/programs/signals.h
+++ b/src/programs/signals.h
@@ -75,7 +75,7 @@
   // True once after SIGHUP or after the file changed without one.
   bool should_reload(const std::string& path) {
     if (const long long changed = change_of(path)) {
-      if (last_change_ && changed != last_change_) should_reload_ = true;
+      if (changed != last_change_) should_reload_ = true;  // a file that was missing may have been read meanwhile, in whichever state
       last_change_ = changed;
     }
     return should_reload_.exchange(false);
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -64,6 +64,25 @@
 Test(reload, a_signal_before_serving_begins_is_not_lost) { cr_expect(is_early_change_taken(true)); }
 Test(reload, a_changed_file_before_serving_begins_is_not_lost) { cr_expect(is_early_change_taken(false)); }
 
+// It is missing at first, comes, is read, and changes before anybody serves.
+Test(reload, a_change_of_a_file_that_was_missing_at_first_is_not_lost) {
+  const std::string path = own_path();
+  Signals signals(path);
+  std::ofstream(path) << good + "}";
+  const std::optional<Startup> startup = signals.await_startup(path, false);
+  cr_assert(startup && startup->grace != 9s);
+  std::ofstream(path) << good + R"(,"time_bounds":{"grace_s":9}})";
+  std::atomic<int> taken = 0;
+  std::thread driver([&] {
+    await([&] { return taken > 0; });
+    std::raise(SIGTERM);
+  });
+  signals.serve(path, false, [&](const Startup& changed) { taken += changed.grace == 9s; });
+  driver.join();
+  std::remove(path.c_str());
+  cr_expect(taken == 1);
+}
+
 Test(reload, a_wrong_file_keeps_the_old_settings_and_says_the_field) {
   const std::string path = own_path();
   std::ofstream(path) << good + "}";
