--- a/tests/exchange_test.cpp
+++ b/tests/exchange_test.cpp
@@ -199,10 +199,11 @@
   }
 }
 
-// While the broker stood still its connections to the backend ended, and a request that may run once came. It is served
-// over a new one, whichever of the two is seen first.
-Test(exchange, a_frozen_broker_that_wakes_loses_no_request_on_an_ended_connection) {
-  BrokerStage stage(1);
+// While the broker stood still its connections to the backends ended, and requests came. They are served over new ones,
+// whichever of the two is seen first; `check_round`: whether the breakdowns counted meanwhile are as they may be.
+template <class CheckRound>
+void wake_to_ended_connections(int backends, bool is_once, const CheckRound& check_round) {
+  BrokerStage stage(backends);
   for (int round = 0; round < 12; ++round) {
     std::vector<Exchange> clients(8);
     for (std::size_t number = 0; number < clients.size(); ++number) {
@@ -213,9 +214,11 @@
     stage.freeze();
     stage.end_lines();
     for (std::size_t number = 0; number < clients.size(); ++number)
-      stage.add(clients[number], case_of("z" + std::to_string(round * 8 + static_cast<int>(number)), true).request);
+      stage.add(clients[number], case_of("z" + std::to_string(round * 8 + static_cast<int>(number)), is_once).request);
+    const auto breakdowns = metrics().get(Metric::breakdowns);
     stage.resume();
     stage.play(clients);
+    check_round(round, metrics().get(Metric::breakdowns) - breakdowns);
     for (Exchange& client : clients) {
       cr_expect(client.statuses.back() == 200, "round %d: %d", round, client.statuses.back());
       ::close(client.socket);
@@ -223,29 +226,13 @@
   }
 }
 
+Test(exchange, a_frozen_broker_that_wakes_loses_no_request_on_an_ended_connection) {
+  wake_to_ended_connections(1, true, [](int, auto) {});
+}
+
 // The same for what may be repeated: an end that could be known costs none of its tries, and its allowance nothing.
 Test(exchange, ended_connections_cost_no_request_a_try) {
-  BrokerStage stage(2);
-  for (int round = 0; round < 12; ++round) {
-    std::vector<Exchange> clients(8);
-    for (std::size_t number = 0; number < clients.size(); ++number) {
-      clients[number].keeps_open = true;
-      clients[number].requests = {case_of("w" + std::to_string(round * 8 + static_cast<int>(number)), false).request};
-    }
-    stage.play(clients);
-    stage.freeze();
-    stage.end_lines();
-    for (std::size_t number = 0; number < clients.size(); ++number)
-      stage.add(clients[number], case_of("z" + std::to_string(round * 8 + static_cast<int>(number)), false).request);
-    const auto breakdowns = metrics().get(Metric::breakdowns);
-    stage.resume();
-    stage.play(clients);
-    cr_expect(metrics().get(Metric::breakdowns) == breakdowns, "round %d", round);
-    for (Exchange& client : clients) {
-      cr_expect(client.statuses.back() == 200, "round %d: %d", round, client.statuses.back());
-      ::close(client.socket);
-    }
-  }
+  wake_to_ended_connections(2, false, [](int round, auto breakdowns) { cr_expect(breakdowns == 0, "round %d", round); });
 }
 
 // Clients that leave at each byte of their request or of the answer, beside others that take their places.
--- a/tests/reload_test.cpp
+++ b/tests/reload_test.cpp
@@ -41,13 +41,8 @@
     "listens_on":{"front":"10.0.0.1:80","ready_check":"10.0.0.1:81"})";
 std::string own_path() { return "/tmp/saddlewing-reload-" + std::to_string(::getpid()) + ".json"; }
 
-// Whether a change is taken that came after the signals were set up and before anybody serves.
-bool is_early_change_taken(bool is_signalled) {
-  const std::string path = own_path();
-  std::ofstream(path) << good + "}";
-  Signals signals(path);
-  std::ofstream(path) << good + R"(,"time_bounds":{"grace_s":9}})";
-  if (is_signalled) std::raise(SIGHUP);
+// Serves until a change to nine seconds was taken, or for as long as it may take.
+bool is_change_taken(Signals& signals, const std::string& path) {
   std::atomic<int> taken = 0;
   std::thread driver([&] {
     await([&] { return taken > 0; });
@@ -59,6 +54,16 @@
   return taken == 1;
 }
 
+// Whether a change is taken that came after the signals were set up and before anybody serves.
+bool is_early_change_taken(bool is_signalled) {
+  const std::string path = own_path();
+  std::ofstream(path) << good + "}";
+  Signals signals(path);
+  std::ofstream(path) << good + R"(,"time_bounds":{"grace_s":9}})";
+  if (is_signalled) std::raise(SIGHUP);
+  return is_change_taken(signals, path);
+}
+
 }  // namespace
 
 Test(reload, a_signal_before_serving_begins_is_not_lost) { cr_expect(is_early_change_taken(true)); }
@@ -72,15 +77,7 @@
   const std::optional<Startup> startup = signals.await_startup(path, false);
   cr_assert(startup && startup->grace != 9s);
   std::ofstream(path) << good + R"(,"time_bounds":{"grace_s":9}})";
-  std::atomic<int> taken = 0;
-  std::thread driver([&] {
-    await([&] { return taken > 0; });
-    std::raise(SIGTERM);
-  });
-  signals.serve(path, false, [&](const Startup& changed) { taken += changed.grace == 9s; });
-  driver.join();
-  std::remove(path.c_str());
-  cr_expect(taken == 1);
+  cr_expect(is_change_taken(signals, path));
 }
 
 Test(reload, a_wrong_file_keeps_the_old_settings_and_says_the_field) {
