--- a/tests/entry_change_test.cpp
+++ b/tests/entry_change_test.cpp
@@ -121,6 +121,25 @@
   cr_expect(cluster.run_until([&] { return cluster.is_done(leader, token) && cluster.body_at(others[0]) == "seven"; }, 1000ms));
 }
 
+// The receiver's process ends while an entry is on its way to it, at each of several places: it gets the whole all the same.
+Test(entry_change, an_entry_on_its_way_is_sent_anew_to_a_receiver_that_began_anew) {
+  for (Span after(20); after <= Span(320); after += Span(60)) {
+    Cluster cluster(3);
+    cluster.bytes_per_ms = 1000;
+    cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+    cluster.run(500ms);
+    const std::string leader = cluster.leader();
+    cluster.propose(7, noise(400000, 7));
+    cluster.run(after);
+    std::string away;
+    for (const std::string& founder : cluster.founders())
+      if (founder != leader) away = founder;
+    cluster.stop(away);
+    cluster.start(away);
+    cr_expect(cluster.run_until([&] { return cluster.body_at(away) == noise(400000, 7); }, 3000ms), "after %d ms", static_cast<int>(after.count()));
+  }
+}
+
 // A member is away, comes back (with its disk, or wiped, or with a slow one) while changes go on and on: it catches up, no
 // beat waits behind what it gets, and it neither leads nor tells old state meanwhile.
 Test(entry_change, whoever_was_away_catches_up_while_changes_go_on) {
