--- a/src/main.cpp
+++ b/src/main.cpp
@@ -62,7 +62,7 @@
 
 int trace(const cxxopts::Options& options, const cxxopts::ParseResult& read, const std::vector<std::string>& words) {
   if (words.size() != 1 || words[0].empty() || words[0].size() > 18 || words[0].find_first_not_of("0123456789") != std::string::npos)
-    return usage(options, "tracer takes one edition, a whole number");
+    return usage(options, "tracer takes one version, a whole number");
   std::vector<std::string> contacts;
   int wait = 0;
   std::string complaint;
@@ -78,19 +78,19 @@
                            "  broker          carry traffic\n"
                            "  pooler          carry database sessions\n"
                            "  registry        keep the configuration and the registry of backends\n"
-                           "  tracer EDITION  follow one change of the configuration through all nodes\n"
+                           "  tracer VERSION  follow one change of the configuration through all nodes\n"
                            "  ring WHAT       the hash ring: report, propose, status, apply FILE, undo MOVE;\n"
                            "                  move or queue, of VIRTUAL-NODE RECEIVER or account NAME RECEIVER\n"
                            "  edges           how fast each edge answers each region, and which are avoided\n"
                            "  core            members, term, leader and catching-up, as each registry asked knows them\n"
                            "  check FILE      check a startup, a configuration or a ring file\n");
-  options.positional_help("COMMAND [FILE | EDITION]");
+  options.positional_help("COMMAND [FILE | VERSION]");
   options.add_options()("h,help", "print this help")("version", "print the version")(
       "startup", "startup file (else SADDLEWING_NODE_FILE names it)", cxxopts::value<std::string>())(
       "contact", "tracer, ring, edges, core: inner address of a node; may be given more than once", cxxopts::value<std::vector<std::string>>())(
       "json", "tracer, ring, edges, core: print JSON")("wait-ms", "tracer, ring, edges, core: how long to wait for answers", cxxopts::value<int>()->default_value("2000"))(
       "command", "broker, pooler, registry, tracer, ring, edges, core or check", cxxopts::value<std::string>())(
-      "file", "check: the file; tracer: the edition; ring: what to do", cxxopts::value<std::vector<std::string>>());
+      "file", "check: the file; tracer: the version; ring: what to do", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"command", "file"});
   cxxopts::ParseResult read;
   try {
