--- a/src/coordination/agreement.cpp
+++ b/src/coordination/agreement.cpp
@@ -318,6 +318,8 @@
     due_ = beat_due_;
     return;
   }
+  // If nobody leads that it could learn from, whoever was told so tries again: the vote before the vote disturbs no leader.
+  if (is_removed_ && now - removed_at_ > options_.election * 4) is_removed_ = false;
   const bool may_lead = is_voter(durable_.self) && !is_removed_ && !leaving_since_;
   if (now >= election_) {
     if (may_lead && !is_stuck) {
--- a/src/coordination/agreement.h
+++ b/src/coordination/agreement.h
@@ -185,7 +185,8 @@
   std::string leader_;
   Index leader_last_;  // of the leader's newest entry, as it told last
   Moment heard_leader_{}, heard_confirmed_{}, due_{}, election_{}, beat_due_{};
-  bool is_removed_ = false;  // another member says that this one is none any more
+  bool is_removed_ = false;  // another member says that this one is none any more; believed for a while
+  Moment removed_at_{};
   int attempts_ = 0;         // to lead, since a leader was heard
   std::map<MemberId, bool> votes_;
   std::map<MemberId, Peer> peers_;       // of a leader: voters but itself, and learners
--- a/src/coordination/agreement_messages.cpp
+++ b/src/coordination/agreement_messages.cpp
@@ -26,7 +26,7 @@
         votes_[message.from] = true;
         count_votes(now);
       }
-      if (message.is_removed && !message.is_granted) is_removed_ = true;
+      if (message.is_removed && !message.is_granted) is_removed_ = true, removed_at_ = now;
       return;
     case Type::voted:
       if (message.term > durable_.term) return follow(message.term, now);
@@ -55,8 +55,9 @@
   const bool hears_leader = role_ == Role::leader || (!leader_.empty() && now - heard_leader_ < options_.election);
   RaftMessage reply = make(Type::pre_voted);
   reply.is_granted = !hears_leader && message.term > durable_.term && is_newer_or_same(message);
-  // Its own list of members is older than ours and it is not in ours: it was replaced.
-  reply.is_removed = hears_leader && !is_voter(message.from);
+  // Not in our list of members, which is newer than its own: it was replaced. A learner that holds nothing yet knows nobody.
+  reply.is_removed = hears_leader && !is_voter(message.from) &&
+                     std::pair(durable_.entry->term, durable_.entry->index) > std::pair(message.entry_term, message.entry_index);
   send(message.address, std::move(reply), true);
 }
 
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -212,3 +212,39 @@
   }
   cr_expect(cluster.now() - from <= Span(1450), "%d", static_cast<int>(span_between(from, cluster.now()).count()));
 }
+
+// A wiped member hears the leader, but holds nothing yet: it can't know who is a member, and says so of nobody.
+Test(membership, a_learner_that_holds_nothing_takes_nobody_for_removed) {
+  Cluster cluster(3);
+  cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+  cluster.run(500ms);
+  const std::string leader = cluster.leader();
+  const std::vector<std::string> others = running(cluster, leader);
+  cluster.wipe(others[0]);
+  cluster.should_drop = [](std::uint64_t, const RaftMessage& message) { return message.piece.has_value(); };
+  cluster.start(others[0]);
+  cluster.run(300ms);
+  cluster.cut_way(leader, others[1]);
+  for (const Moment end = cluster.now() + 2500ms; cluster.now() < end; cluster.run(5ms))
+    cr_assert(!cluster.at(others[1]).agreement->status(cluster.now()).is_removed);
+}
+
+// Told that it was removed, and then nobody leads: it does not wait for ever.
+Test(membership, one_that_was_told_that_it_is_removed_tries_again_when_nobody_leads) {
+  Cluster cluster(3);
+  cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+  cluster.run(500ms);
+  const std::string leader = cluster.leader(), told = running(cluster).front(), other = running(cluster)[1];
+  cluster.stop(leader);
+  cluster.stop(other);
+  RaftMessage message;
+  message.type = RaftMessage::Type::pre_voted;
+  message.from = cluster.at(other).disk.self;
+  message.address = other;
+  message.term = cluster.at(told).agreement->term();
+  message.is_removed = true;
+  cluster.at(told).agreement->receive(message, cluster.now());
+  cr_assert(cluster.at(told).agreement->status(cluster.now()).is_removed);
+  cluster.run(4000ms);
+  cr_expect(!cluster.at(told).agreement->status(cluster.now()).is_removed);
+}
