--- a/tests/entry_change_test.cpp
+++ b/tests/entry_change_test.cpp
@@ -121,6 +121,26 @@
   cr_expect(cluster.run_until([&] { return cluster.is_done(leader, token) && cluster.body_at(others[0]) == "seven"; }, 1000ms));
 }
 
+// What a follower holds has rotted under the same term and index: a difference never matches there, so it gets the whole.
+Test(entry_change, a_base_that_does_not_match_is_followed_by_the_whole) {
+  Cluster cluster(3);
+  cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+  const std::string leader = cluster.leader();
+  cluster.propose(7, "seven, seven");
+  cluster.run(500ms);
+  std::string rotten;
+  for (const std::string& founder : cluster.founders())
+    if (founder != leader) rotten = founder;
+  cluster.stop(rotten);
+  auto entry = std::make_shared<Entry>(*cluster.at(rotten).disk.entry);
+  entry->body = "never, seven";
+  cluster.at(rotten).disk.entry = entry;
+  cluster.start(rotten);
+  cluster.run(300ms);
+  cluster.propose(8, "seven, eight");
+  cr_expect(cluster.run_until([&] { return cluster.body_at(rotten) == "seven, eight"; }, 1000ms));
+}
+
 // The receiver's process ends while an entry is on its way to it, at each of several places: it gets the whole all the same.
 Test(entry_change, an_entry_on_its_way_is_sent_anew_to_a_receiver_that_began_anew) {
   for (Span after(20); after <= Span(320); after += Span(60)) {
