Soak: real processes under overlapping troubles, judged by their history

Cause: the promises were tested by parts, by the model and on simulated machines; nothing played real processes and sockets under troubles that overlap. Change: tools/soak.sh with a fault library for the unmodified release build (cuts, one-way cuts, resets, slow, failing and full disks, losses of power), seeded schedules that can be replayed and shrunk, and a checker for each rule. The nodes, the ledger and the judge of tools/mixed_versions serve both.

--- a/tools/mixed_versions/judge.py
+++ b/tools/mixed_versions/judge.py
@@ -25,11 +25,11 @@
     return [body[at:at + RECORD_SIZE] for at in range(0, whole, RECORD_SIZE)]
 
 
-def _check_plain(answer: Answer, runs: list[Run]) -> None:
+def _check_plain(answer: Answer, runs: list[Run], services: tuple[str, ...]) -> None:
     seals = answer.headers.get_all("Answer-Seal", [])
     if len(seals) != 1:
         raise WrongAnswer(f"{len(seals)} Answer-Seal headers")
-    matching = [run for run in runs if run.seal == seals[0] and run.service == PLAIN_SERVICE]
+    matching = [run for run in runs if run.seal == seals[0] and run.service in services]
     if not matching:
         raise WrongAnswer("Answer-Seal is not of a run of this request")
     if matching[0].answer_body != answer.body:
@@ -61,8 +61,12 @@
         raise WrongAnswer("body is not the greatest records of its parts")
 
 
-def judge(request: Request, answer: Answer, ledger: Ledger) -> Verdict:
-    """What became of the request; raises WrongAnswer."""
+def judge(request: Request, answer: Answer, ledger: Ledger,
+          services: tuple[str, ...] = (PLAIN_SERVICE,)) -> Verdict:
+    """What became of the request; raises WrongAnswer.
+
+    `services`: those that a request that is not gathered may have gone to.
+    """
     if answer.status == 503:
         if float(answer.headers.get("Retry-After", "0")) <= 0:
             raise WrongAnswer("503 without Retry-After")
@@ -76,5 +80,5 @@
     if request.kind is RouteKind.GATHERED:
         _check_gathered(answer, runs)
     else:
-        _check_plain(answer, runs)
+        _check_plain(answer, runs, services)
     return Verdict.SERVED
--- a/tools/mixed_versions/node.py
+++ b/tools/mixed_versions/node.py
@@ -84,15 +84,27 @@
 
     def start(self, build: Build, is_first_run: bool = False) -> None:
         """Starts a process of this build."""
-        startup = make_startup(self.spec, self._settings, self._folder, is_first_run)
         path = self._folder / "startup.json"
-        path.write_text(json.dumps(startup))
+        path.write_text(json.dumps(self._make_settings(is_first_run)))
         command = [str(build.path), self.spec.kind.value, "--startup", str(path)]
         with open(self._log_path(), "ab") as log:
-            self._process = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=log,
-                                             stderr=log, cwd=self._folder)
+            self._process = subprocess.Popen(self._wrap(command), stdin=subprocess.DEVNULL,
+                                             stdout=log, stderr=log, cwd=self._folder,
+                                             env=self._environment())
         self.build = build
 
+    def _make_settings(self, is_first_run: bool) -> dict:
+        """The settings of the next process."""
+        return make_startup(self.spec, self._settings, self._folder, is_first_run)
+
+    def _wrap(self, command: list[str]) -> list[str]:
+        """The command as it is run."""
+        return command
+
+    def _environment(self) -> dict[str, str] | None:
+        """The environment of the next process; None: that of this one."""
+        return None
+
     def is_running(self) -> bool:
         """Whether its process runs."""
         return self._process is not None and self._process.poll() is None
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,153 @@
+"""The command: runs seeds or a schedule, shrinks a schedule, prints a line for each run."""
+import argparse
+import asyncio
+import collections
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from mixed_versions.builds import Build
+from soak.backends import BACKEND_COUNT
+from soak.scenario import Result, Scenario
+from soak.shrink import shrink
+from soak.troubles import Schedule, draw_schedule, read_schedule
+
+_RUN_LIMIT_S = 150.0
+
+
+def _parse_seeds(text: str) -> range:
+    first, _, last = text.partition("..")
+    return range(int(first), int(last or first) + 1)
+
+
+def _read_options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        prog="soak.sh", description="Runs clusters under overlapping troubles and judges them.")
+    parser.add_argument("--program", type=Path, required=True, help="the build under test")
+    parser.add_argument("--faults", type=Path, required=True,
+                        help="the library of tests/soak/network_faults.cpp")
+    parser.add_argument("--seeds", type=_parse_seeds, default=range(1, 2), metavar="A..B")
+    parser.add_argument("--seed", type=int, help="one seed, in this process")
+    parser.add_argument("--minutes", type=float, help="begin no further seed after so long")
+    parser.add_argument("--groups", type=int, default=3, help="groups of overlapping troubles")
+    parser.add_argument("--replay", type=Path, help="a schedule written by --report or --shrink")
+    parser.add_argument("--shrink", type=Path, help="a schedule: finds the fewest troubles")
+    parser.add_argument("--rule", help="with --shrink: the rule that must still be broken")
+    parser.add_argument("--jobs", type=int, default=2, help="runs at a time")
+    parser.add_argument("--report", type=Path, help="folder for schedules and logs of findings")
+    options = parser.parse_args()
+    for path in (options.program, options.faults):
+        if not path.is_file():
+            parser.error(f"{path} is no file")
+    return options
+
+
+def _times_line(history) -> str:
+    parts = []
+    for name, seconds in sorted(history.times.items()):
+        ordered = sorted(seconds)
+        middle = ordered[len(ordered) // 2]
+        parts.append(f"{name} {middle:.2f}/{ordered[-1]:.2f} s")
+    return ", ".join(parts)
+
+
+def _print(result: Result, seconds: float) -> None:
+    history = result.history
+    statuses = collections.Counter(attempt.status for attempt in history.attempts)
+    kinds = " ".join(span.kind for span in history.spans)
+    outcome = "passed" if not result.violations else f"FAILED ({len(result.violations)})"
+    print(f"seed {result.schedule.seed}: {outcome}; {len(history.attempts)} requests "
+          f"({statuses[200]} served, {statuses[503]} refused, {statuses[502]} and "
+          f"{statuses[504]} failed, {statuses[0]} without an answer), {len(history.runs)} runs, "
+          f"{sum(bool(put.acknowledged_at) for put in history.puts)} orders, "
+          f"{len(history.reads)} reads; {kinds}; {_times_line(history)}; {seconds:.0f} s",
+          flush=True)
+    seen = collections.Counter()
+    for violation in result.violations:
+        seen[violation.rule] += 1
+        if seen[violation.rule] <= 3:
+            print(f"  {violation.rule}: {violation.text}", flush=True)
+    for rule, count in seen.items():
+        if count > 3:
+            print(f"  {rule}: {count} in all", flush=True)
+
+
+def _run(schedule: Schedule, options: argparse.Namespace) -> Result:
+    began = time.monotonic()
+    build = Build("soak", options.program.resolve())
+    with tempfile.TemporaryDirectory(prefix="soak.") as folder:
+        scenario = Scenario(schedule, build, options.faults.resolve(), Path(folder))
+        result = asyncio.run(asyncio.wait_for(scenario.run(), _RUN_LIMIT_S))
+        _print(result, time.monotonic() - began)
+        if result.violations and options.report:
+            _keep(Path(folder), result, options.report / f"seed-{schedule.seed}")
+    return result
+
+
+def _keep(folder: Path, result: Result, report: Path) -> None:
+    """Keeps schedule, findings and logs."""
+    shutil.rmtree(report, ignore_errors=True)
+    report.mkdir(parents=True)
+    (report / "schedule.json").write_text(result.schedule.to_json())
+    (report / "findings.txt").write_text("".join(
+        f"{violation.rule}: {violation.text}\n" for violation in result.violations))
+    first = min(life.began_at for life in result.history.lives)
+    (report / "spans.txt").write_text("".join(
+        f"{span.began_at - first:8.3f} {span.ended_at - first:8.3f} {span.kind} "
+        f"{' '.join(span.nodes)}\n" for span in result.history.spans))
+    for log in folder.glob("*/log"):
+        shutil.copy(log, report / f"{log.parent.name}.log")
+
+
+def _run_apart(seeds: range, options: argparse.Namespace) -> int:
+    """Each seed in a process of its own: addresses follow from its number."""
+    until = time.monotonic() + options.minutes * 60 if options.minutes else None
+    waiting = list(seeds)
+    running: dict[subprocess.Popen, int] = {}
+    failed = []
+    while waiting or running:
+        while waiting and len(running) < options.jobs:
+            if until and time.monotonic() > until:
+                waiting.clear()
+                break
+            seed = waiting.pop(0)
+            command = [sys.executable, "-B", "-m", "soak", "--program", str(options.program),
+                       "--faults", str(options.faults), "--seed", str(seed),
+                       "--groups", str(options.groups)]
+            if options.report:
+                command += ["--report", str(options.report)]
+            running[subprocess.Popen(command, env=os.environ)] = seed
+        for process in [process for process in running if process.poll() is not None]:
+            seed = running.pop(process)
+            if process.returncode != 0:
+                failed.append(seed)
+        time.sleep(0.05)
+    played = len(seeds) - len(waiting)
+    print(f"{played - len(failed)} passed, {len(failed)} failed"
+          + (f": seeds {sorted(failed)}" if failed else ""), flush=True)
+    return 1 if failed else 0
+
+
+def main() -> int:
+    """Runs the command; returns its exit code."""
+    options = _read_options()
+    if options.shrink:
+        schedule = read_schedule(options.shrink.read_text())
+        smallest = shrink(schedule, lambda tried: {
+            violation.rule for violation in _run(tried, options).violations}, options.rule)
+        print(smallest.to_json(), end="")
+        return 1 if smallest.troubles else 0
+    if options.replay:
+        return 1 if _run(read_schedule(options.replay.read_text()), options).violations else 0
+    if options.seed is not None:
+        schedule = draw_schedule(options.seed, BACKEND_COUNT, options.groups)
+        return 1 if _run(schedule, options).violations else 0
+    return _run_apart(options.seeds, options)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/soak/scenario.py
@@ -0,0 +1,241 @@
+"""One run: founding, troubles, healing, a calm time with planned work, and the last look."""
+import asyncio
+import signal
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from mixed_versions.addresses import CONTROL_PORT, READY_PORT, Network
+from mixed_versions.builds import Build
+from mixed_versions.core_view import ask_core
+from mixed_versions.ledger import Ledger
+from soak import checker
+from soak.backends import Fleet
+from soak.checker import Violation
+from soak.clients import Clients
+from soak.cluster import SoakCluster, SoakNode
+from soak.history import History, Observation, now
+from soak.http_streams import call, make_request_bytes
+from soak.operators import Operators
+from soak.player import Player
+from soak.troubles import Schedule
+
+_FOUND_S = 20.0
+_HEAL_S = 12.0  # as the settings' heal_s: until then nothing is owed
+_CALM_S = 5.5
+_PLANNED_EXTRA_S = 1.0
+_OBSERVE_EVERY_S = 0.4
+_EMPTY_S = 6.0  # until nothing is under way any more after the clients have ended
+_MAX_DESCRIPTORS = 400
+_MAX_RESIDENT_BYTES = 256 << 20
+_DRAINED_IN_CALM = 1  # the backend that drains in the calm time
+
+
+@dataclass
+class Result:
+    """What came of one run."""
+
+    schedule: Schedule
+    history: History
+    violations: list[Violation] = field(default_factory=list)
+    unexplained: int = 0
+    failed: int = 0
+
+
+class Scenario:
+    """Runs one schedule."""
+
+    def __init__(self, schedule: Schedule, build: Build, faults: Path, folder: Path):
+        network = Network(0)
+        self._schedule = schedule
+        self._build = build
+        self.history = History()
+        self._ledger = Ledger()
+        registry_hosts = tuple(network.host(1 + at) for at in range(schedule.registries))
+        self._fleet = Fleet(network, self.history, self._ledger, schedule.seed, registry_hosts,
+                            schedule.is_self_registered)
+        self._cluster = SoakCluster(network, folder, build, faults, schedule, self.history,
+                                    self._fleet.platform_host)
+        self._operators = Operators(self.history, schedule.seed,
+                                    {node.spec.name: node.spec.host
+                                     for node in self._cluster.registries})
+        self._clients = Clients(self.history, self._ledger, schedule.seed,
+                                {node.spec.name: node.spec.host for node in self._cluster.brokers})
+        self._player = Player(self._cluster, self._fleet, self._operators, self.history,
+                              schedule.seed)
+        self._violations: list[Violation] = []
+
+    async def run(self) -> Result:
+        """Runs to the end and judges."""
+        await self._fleet.open()
+        try:
+            await self._play()
+        finally:
+            await self._cluster.close()
+            await self._fleet.close()
+        self._violations += checker.check_all(self.history, self._ledger, self._clients.once_ids)
+        result = Result(self._schedule, self.history, self._violations)
+        return result
+
+    async def _play(self) -> None:
+        began_at = now()
+        self._cluster.start_all()
+        first = await self._operators.put_next(_FOUND_S)
+        if not first.acknowledged_at:
+            self.history.problems.append("the first order was never acknowledged")
+            return
+        observing = asyncio.create_task(self._observe())
+        await self._wait_ready("ready after the founding", _FOUND_S)
+        self.history.add_time("ready after the founding", now() - began_at)
+        self._clients.start()
+        self._operators.start()
+        await self._player.play(self._schedule)
+        await self._calm_time()
+        await self._operators.stop()
+        await self._clients.stop()
+        await self._last_look()
+        observing.cancel()
+        await self._end_all()
+
+    async def _wait_ready(self, what: str, limit_s: float) -> None:
+        """Until every broker calls itself ready."""
+        probe = make_request_bytes("GET", "/readiness", {"Host": "ready"}, b"")
+        until = now() + limit_s
+        missing = list(self._cluster.brokers)
+        while missing and now() < until:
+            answer = await call(missing[0].spec.host, READY_PORT, probe, 0.5)
+            if answer is not None and answer.status == 200:
+                missing.pop(0)
+            else:
+                await asyncio.sleep(0.1)
+        for node in missing:
+            self.history.problems.append(f"{node.spec.name} was not {what} within {limit_s} s")
+
+    async def _calm_time(self) -> None:
+        healed_at = now()
+        self._cluster.heal()
+        await self._wait_ready("ready after the troubles", _HEAL_S)
+        self.history.add_time("ready after the troubles", now() - healed_at)
+        await self._wait_in_force(healed_at)
+        calm_at = now()
+        await asyncio.sleep(_CALM_S)
+        await self._planned_work()
+        self._violations += checker.check_served(self.history, calm_at, now() - 5.0)
+
+    async def _wait_in_force(self, healed_at: float) -> None:
+        """Until every broker serves by what was the newest order when all was well again."""
+        newest = self._operators.newest_acknowledged()
+        until = healed_at + _HEAL_S + checker.TAKE_EFFECT_S
+        missing = list(self._cluster.brokers)
+        while newest and missing and now() < until:
+            values = await self._metrics_of(missing[0])
+            if values.get("saddlewing_edition", 0) >= newest.version:
+                missing.pop(0)
+            else:
+                await asyncio.sleep(0.05)
+        for node in missing:
+            self.history.problems.append(f"{node.spec.name} was not at version {newest.version} "
+                                         f"within {until - healed_at:.0f} s after the troubles")
+        self.history.add_time("in force after the troubles", now() - healed_at)
+
+    async def _planned_work(self) -> None:
+        """A broker leaves, another reads its settings again, a backend drains, orders go on."""
+        leaving, *others = self._cluster.brokers
+        began_at = now()
+        for node in others:
+            node.send_signal(signal.SIGHUP)
+        draining = asyncio.create_task(self._fleet.trouble("drain", _DRAINED_IN_CALM, 0))
+        grace_s = self._schedule.grace_s
+        if not await self._cluster.end(leaving, grace_s):
+            self.history.problems.append(f"{leaving.spec.name} did not end well within its grace")
+        until = now()
+        self._cluster.start(leaving)
+        await draining
+        await self._wait_ready("ready after the planned work", _HEAL_S)
+        self._violations += checker.check_planned_work(
+            self.history, began_at, until + _PLANNED_EXTRA_S, leaving.spec.name, grace_s)
+
+    async def _metrics_of(self, node: SoakNode) -> dict[str, float]:
+        port = CONTROL_PORT if node in self._cluster.registries else READY_PORT
+        request = make_request_bytes("GET", "/metrics", {"Host": "metrics"}, b"")
+        answer = await call(node.spec.host, port, request, 0.5)
+        if answer is None or answer.status != 200:
+            return {}
+        values = {}
+        for line in answer.body.decode(errors="replace").splitlines():
+            name, _, value = line.rpartition(" ")
+            if name and not line.startswith("#"):
+                values[name] = float(value)
+        return values
+
+    async def _observe(self) -> None:
+        """Notes the metrics of all nodes now and then."""
+        while True:
+            for node in self._cluster.nodes:
+                if not node.is_running():
+                    continue
+                life = self._cluster.life_number(node)
+                at = now()
+                values = await self._metrics_of(node)
+                if values and self._cluster.life_number(node) == life:
+                    self.history.observations.append(
+                        Observation(node.spec.name, life, at, values))
+            await asyncio.sleep(_OBSERVE_EVERY_S)
+
+    async def _last_look(self) -> None:
+        await self._look_at_configuration()
+        for node in self._cluster.brokers:
+            until = now() + _EMPTY_S
+            values = {}
+            while now() < until:
+                values = await self._metrics_of(node)
+                if values.get("saddlewing_errands") == 0 and values.get("saddlewing_visits") == 0:
+                    break
+                await asyncio.sleep(0.1)
+            else:
+                self.history.problems.append(
+                    f"{node.spec.name} still has {values.get('saddlewing_errands')} requests and "
+                    f"{values.get('saddlewing_visits')} client connections")
+        for node in self._cluster.nodes:
+            if node.open_descriptors() > _MAX_DESCRIPTORS:
+                self.history.problems.append(
+                    f"{node.spec.name} has {node.open_descriptors()} descriptors open")
+            if node.resident_bytes() > _MAX_RESIDENT_BYTES:
+                self.history.problems.append(
+                    f"{node.spec.name} holds {node.resident_bytes() >> 20} MB")
+
+    async def _look_at_configuration(self) -> None:
+        """Every registry gives back the newest order, and all have one leader."""
+        newest = self._operators.newest_acknowledged()
+        for node in self._cluster.registries:
+            until = now() + _EMPTY_S
+            read = None
+            while read is None and now() < until:
+                read = await self._operators.read_once(node.spec.name)
+            if read is None:
+                self.history.problems.append(f"{node.spec.name} gave no configuration at the end")
+        until = now() + _HEAL_S
+        contacts = [node.spec.inner_address for node in self._cluster.registries]
+        while True:
+            view = await asyncio.to_thread(ask_core, self._build, contacts)
+            if newest is None or view.is_settled(len(contacts), _committed_version(view, newest)):
+                return
+            if now() > until:
+                self.history.problems.append(f"the core did not settle: {view.registries}")
+                return
+            await asyncio.sleep(0.2)
+
+    async def _end_all(self) -> None:
+        nodes = self._cluster.nodes
+        limit_s = self._schedule.grace_s
+        are_well = await asyncio.gather(*(self._cluster.end(node, limit_s) for node in nodes))
+        for node, is_well in zip(nodes, are_well):
+            if not is_well:
+                self.history.problems.append(
+                    f"{node.spec.name} did not end well within its grace, exit code "
+                    f"{node.exit_code()}")
+
+
+def _committed_version(view, newest) -> int:
+    """What the registries hold: an order without an acknowledgement may have been taken."""
+    versions = [told["committed"]["version"] for told in view.registries if told["committed"]]
+    return max([newest.version, *versions])
