--- a/tests/broker/exchange_fixture.h
+++ b/tests/broker/exchange_fixture.h
@@ -208,6 +208,27 @@
               static_cast<ssize_t>(request.size()));
   }
 
+  // A client that sends a request and leaves once a backend is at work on it.
+  void leave_at_work(const std::string& request, const std::string& try_id) {
+    std::vector<Exchange> one(1);
+    one[0].requests = {request};
+    begin(one[0]);
+    const TimePoint until = Clock::now() + 10s;
+    while (!has_met(try_id)) {
+      cr_assert(Clock::now() < until, "no backend was reached");
+      turn(one, 10);
+    }
+    end(one[0], Trouble::close);
+  }
+  // Whether no backend is at work on the request any more before the span is over.
+  bool is_let_go_of(const std::string& try_id, Duration span) {
+    std::vector<Exchange> none;
+    for (const TimePoint until = Clock::now() + span; Clock::now() < until; turn(none, 10))
+      if (!is_at_work(try_id))
+        return true;
+    return !is_at_work(try_id);
+  }
+
   // What is still on its way to the backends arrives.
   void settle() {
     std::vector<Exchange> none;
@@ -250,6 +271,11 @@
     Plan plan;
   };
 
+  bool is_at_work(const std::string& try_id) const {
+    return std::ranges::any_of(lines_, [&](const auto& item) {
+      return item.second.is_mute && item.second.try_id == try_id;
+    });
+  }
   void open_backend(const std::string& name) {
     Door door{name, ::socket(AF_INET, SOCK_STREAM, 0), 0};
     sockaddr_in at{};
