A request whose client left is let go of, here and where it was delegated

Cause: a broker closed a request when its client left, and left the connections to the backends open until their answer or the deadline; a broker that gathered for another one was never told. Class: a party that no longer waits does not say so to the next one (lost hand-over). Change: an attempt under way has 200 ms to end by itself, so that its connection can be used again, and is broken off then; one that has sent nothing is ended at once. What may run only once is left to its backend. GatherCancel (a frame kind of its own, which older builds drop) carries the same to the broker that gathers. The test of frame kinds knows one more; what is beyond is still refused.

--- a/src/broker/backend_connection.cpp
+++ b/src/broker/backend_connection.cpp
@@ -16,7 +16,9 @@
 constexpr Duration past_deadline{
     100};  // how long an asking is still waited for after its errand's deadline
 constexpr Duration max_idle_duration{20000};
-constexpr Duration borrowed_idle{300};    // of a connection that others need as well
+constexpr Duration borrowed_idle{300};  // of a connection that others need as well
+// How long an attempt that nobody waits for may still end by itself. The rules give half a second.
+constexpr Duration abandoned_wait{200};
 constexpr std::size_t turns_at_once = 4;  // when a slot came free
 constexpr double stalled_times =
     6;  // so many times the usual, and at least stalled_least: it stalls
@@ -78,6 +80,8 @@
   else
     backend_->last_short_request_at = now;
   context_ = std::move(context);
+  context_->at_work.push_back(this);
+  is_abandoned_ = false;
   part_ = part;
   asked_ = now;
   ++backend_->active_requests;
@@ -101,15 +105,35 @@
   if (is_heavy_)
     --backend_->active_heavy_requests;
   loop_.timers_.drop(*this);
+  std::erase(context_->at_work, this);
   return std::move(context_);
 }
 
+void BackendConnection::abandon(TimePoint now) {
+  if (!caller_.has_sent())
+    return break_off(now);
+  is_abandoned_ = true;
+  loop_.timers_.set(*this, now + abandoned_wait);
+}
+
+// Nothing of the request arrives any more, and whoever works on it sees its connection end.
+void BackendConnection::break_off(TimePoint now) {
+  if (now - asked_ >= stalled_least)
+    backend_->breaker.record_failure(now, false);
+  metrics().add(Metric::abandoned_attempts);
+  release();
+  caller_.abort();
+  loop_.defer_delete(this);
+}
+
 void BackendConnection::on_due(TimePoint now) {
   if (!context_) {  // idle for long enough
     const BackendPointer backend = backend_;
     loop_.defer_delete(this);
     return loop_.keep_warm(backend);
   }
+  if (is_abandoned_)
+    return break_off(now);
   if (!caller_.was_connected()) {
     backend_->breaker.record_failure(now, true);
     report_failure(ErrorCode::no_response, false);
--- a/src/broker/broker_delegated_gather.cpp
+++ b/src/broker/broker_delegated_gather.cpp
@@ -137,6 +137,8 @@
 void BrokerLoop::handle_delegation_event(DelegationEvent& event, TimePoint now) {
   if (auto* in = std::get_if<DelegationRequested>(&event))
     return handle_gather_request(*in, now);
+  if (const auto* cancelled = std::get_if<DelegationCancelled>(&event))
+    return handle_gather_cancel(*cancelled, now);
   const auto* lost = std::get_if<DelegationLost>(&event);
   auto* came = std::get_if<DelegationResult>(&event);
   const auto call = delegations_.find(lost ? lost->token : came->result.token);
@@ -175,6 +177,26 @@
   arrange(*context);
 }
 
+// Tells the broker that gathers for this request that nobody waits for it any more.
+void BrokerLoop::cancel_delegation(const Requester& requester) {
+  const auto token = delegation_tokens_.find(&requester);
+  if (token == delegation_tokens_.end())
+    return;
+  const auto call = delegations_.find(token->second);
+  if (call == delegations_.end())
+    return;
+  const std::string from = Address{settings_.ip_address, settings_.own_port}.text();
+  const FrameHead head{FrameKind::gather_cancel, incarnation_, from};
+  send_(
+      DelegationMessage{call->second.to, token->second, encode(head, GatherCancel{token->second})});
+}
+
+void BrokerLoop::handle_gather_cancel(const DelegationCancelled& cancelled, TimePoint now) {
+  const auto found = delegated_works_.find({cancelled.routing_id, cancelled.cancel.token});
+  if (found != delegated_works_.end())
+    abandon(*found->second, now);
+}
+
 // Another broker's asking: backends of this region, once each.
 void BrokerLoop::handle_gather_request(DelegationRequested& in, TimePoint now) {
   metrics().add(Metric::delegated_gathers);
@@ -207,8 +229,10 @@
   auto work = std::make_unique<DelegatedGatherWork>(*this, aid.token, std::move(parts), limit,
                                                     flush_after, time_left, now);
   DelegatedGatherWork* started = work.get();
+  context->delegation_token = aid.token;
   context->requester = std::move(work);
   contexts_[started] = context;
+  delegated_works_[{context->routing_id, context->delegation_token}] = started;
   started->start(now);
   arrange(*context);
 }
--- a/src/broker/broker_loop.cpp
+++ b/src/broker/broker_loop.cpp
@@ -223,8 +223,22 @@
     return;
   ProxiedRequest* proxied_request = found->second;
   by_exchange_.erase(found);
-  proxied_request->abandon();
-  end_context(proxied_request);
+  cancel_delegation(*proxied_request);
+  abandon(*proxied_request, Clock::now());
+}
+
+// Nobody waits for its result any more: no further attempt, and those under way are broken off
+// where they may be. What must not run twice is left to its backend, which may be midway in it.
+void BrokerLoop::abandon(Requester& requester, TimePoint now) {
+  requester.abandon();
+  const auto found = contexts_.find(&requester);
+  if (found == contexts_.end())
+    return;
+  const RequestContextPointer context = found->second;
+  if (requester.is_repeatable())
+    for (BackendConnection* connection : std::vector<BackendConnection*>(context->at_work))
+      connection->abandon(now);
+  end_context(&requester);
 }
 
 // Wires may still hold the trip; it is freed between rounds at the earliest.
@@ -235,6 +249,8 @@
   timers_.drop(*found->second);
   if (found->second->position)
     leave_place(*found->second, Clock::now());
+  if (!found->second->routing_id.empty())
+    delegated_works_.erase({found->second->routing_id, found->second->delegation_token});
   ended_contexts_.push_back(std::move(found->second));
   contexts_.erase(found);
   if (const auto token = delegation_tokens_.find(requester); token != delegation_tokens_.end()) {
--- a/src/broker/broker_loop.h
+++ b/src/broker/broker_loop.h
@@ -20,6 +20,7 @@
 
 namespace saddlewing {
 
+class BackendConnection;
 class BrokerLoop;
 
 // An asker under way: an errand with the visit it answers, or the aid given to another broker.
@@ -28,7 +29,8 @@
   }
   BrokerLoop& loop;
   ExchangeId exchange;
-  std::string routing_id;  // of an aid: whom to answer
+  std::string routing_id;              // of an aid: whom to answer
+  std::uint64_t delegation_token = 0;  // of an aid: by which its broker knows it
   std::unique_ptr<Requester> requester;
   ProxiedRequest* proxied_request = nullptr;  // the asker of a visit
   RingSnapshot ring;  // of a request to nodes of the ring: the view it goes by
@@ -43,8 +45,9 @@
   bool is_heavy = false;  // as its last part was asked, see coordination/bulkhead.h
   TimePoint began{};
   Duration target{0};
-  std::vector<std::uint64_t> connections;  // asked over, each once: of a surplus answer there
-                                           // nobody could tell which asking it is to
+  std::vector<BackendConnection*> at_work;  // over which an attempt is under way
+  std::vector<std::uint64_t> connections;   // asked over, each once: of a surplus answer there
+                                            // nobody could tell which asking it is to
   std::string method, try_id, head_start,
       body;  // head_start: the request's head but for what differs by backend
   void on_due(TimePoint now) override;
@@ -57,6 +60,9 @@
   BackendConnection(BrokerLoop& loop, BackendPointer backend);
   ~BackendConnection() override;
   bool ask(RequestContextPointer context, std::size_t part, TimePoint now);
+  // Nobody waits for the attempt under way any more. It may still end for a moment, so that the
+  // connection can be used again; then the connection is closed, and the backend stops.
+  void abandon(TimePoint now);
   bool is_ended() const {
     return caller_.state() == HttpClientConnection::State::ended;
   }
@@ -76,6 +82,7 @@
 
  private:
   RequestContextPointer release();
+  void break_off(TimePoint now);
   void report_failure(ErrorCode kind, bool may_have_run) const;
   void read_load(const Poco::Net::HTTPResponse& response, TimePoint now);
 
@@ -88,6 +95,7 @@
   bool is_heavy_ = false;
   TimePoint asked_{};
   bool is_connect_checked_ = false;
+  bool is_abandoned_ = false;  // the attempt under way
 };
 
 class BrokerLoop final : public HttpServer::Handler,
@@ -190,6 +198,9 @@
   void report_ring();
   static bool is_near(const Backend& backend, const std::string& region, TimePoint now);
   void end_context(const Requester* requester);
+  void abandon(Requester& requester, TimePoint now);
+  void cancel_delegation(const Requester& requester);
+  void handle_gather_cancel(const DelegationCancelled& cancelled, TimePoint now);
   void arrange(RequestContext& context);
   static std::string head_for(const RequestContext& context, const Backend& backend, TimePoint now);
   bool is_ready() const {
@@ -268,6 +279,8 @@
   std::unordered_map<std::string, DelegateBroker> delegates_;       // by inner address
   std::unordered_map<std::uint64_t, DelegatedGather> delegations_;  // by token
   std::unordered_map<const Requester*, std::uint64_t> delegation_tokens_;
+  // Gathers for other brokers that are under way, by routing id and token.
+  std::map<std::pair<std::string, std::uint64_t>, Requester*> delegated_works_;
   std::uint64_t last_delegation_ = 0;
   const IncarnationId incarnation_;
   std::unordered_map<ExchangeId, ProxiedRequest*> by_exchange_;
--- a/src/control_client/control_plane_frames.cpp
+++ b/src/control_client/control_plane_frames.cpp
@@ -156,6 +156,8 @@
       continue;
     if (head.kind == FrameKind::gather_request)
       delegations_.handle_request(std::move(frame->routing_id), reader);
+    else if (head.kind == FrameKind::gather_cancel)
+      delegations_.handle_cancel(std::move(frame->routing_id), reader);
     else if (head.kind == FrameKind::trace_request)
       send_trace(frame->routing_id, now);
   }
--- a/src/control_client/control_updates.h
+++ b/src/control_client/control_updates.h
@@ -74,10 +74,10 @@
   std::uint64_t in_force = 0;  // revision of the view that is in force
 };
 
-// A frame for another broker: a delegated gather, or the result of one.
+// A frame for another broker: a delegated gather, its cancel, or the result of one.
 struct DelegationMessage {
   std::string to;           // of a request: inner address; of a result: routing id
-  std::uint64_t token = 0;  // of a request; 0: it is a result
+  std::uint64_t token = 0;  // of a request or its cancel; 0: it is a result
   std::string bytes;
 };
 
@@ -87,6 +87,12 @@
   GatherRequest request;
 };
 
+// The broker that delegated a gather does not wait for it any more.
+struct DelegationCancelled {
+  std::string routing_id;  // of the request
+  GatherCancel cancel;
+};
+
 // The result of a gather that this broker delegated.
 struct DelegationResult {
   GatherResult result;
@@ -97,6 +103,7 @@
   std::uint64_t token = 0;
 };
 
-using DelegationEvent = std::variant<DelegationRequested, DelegationResult, DelegationLost>;
+using DelegationEvent =
+    std::variant<DelegationRequested, DelegationResult, DelegationLost, DelegationCancelled>;
 
 }  // namespace saddlewing
--- a/src/control_client/delegation_relay.cpp
+++ b/src/control_client/delegation_relay.cpp
@@ -63,6 +63,12 @@
     notify_(std::move(event));
 }
 
+void DelegationRelay::handle_cancel(std::string routing_id, ByteReader& reader) {
+  DelegationCancelled event{std::move(routing_id), {}};
+  if (decode(reader, event.cancel))
+    notify_(std::move(event));
+}
+
 void DelegationRelay::retain(const std::vector<BrokerEndpoint>& brokers) {
   std::erase_if(clients_, [&](const auto& item) {
     return std::none_of(brokers.begin(), brokers.end(),
--- a/src/control_client/delegation_relay.h
+++ b/src/control_client/delegation_relay.h
@@ -37,6 +37,10 @@
   // `reader`: behind the frame's head.
   void handle_request(std::string routing_id, ByteReader& reader);
 
+  // Handles the cancel of a request that came over this connection.
+  // `reader`: behind the frame's head.
+  void handle_cancel(std::string routing_id, ByteReader& reader);
+
   // Closes the connections to all other brokers than these.
   void retain(const std::vector<BrokerEndpoint>& brokers);
 
--- a/src/coordination/routing/delegated_gather.h
+++ b/src/coordination/routing/delegated_gather.h
@@ -55,6 +55,13 @@
   bool is_open() const override {
     return !is_closed_;
   }
+  // The calling broker's client left.
+  void abandon() override {
+    is_closed_ = true;
+  }
+  bool is_repeatable() const override {
+    return true;
+  }
   TimePoint next_due() const override {
     return has_flushed_ || !finished_parts_ ? deadline_ : flush_at_;
   }
--- a/src/coordination/routing/proxied_request.h
+++ b/src/coordination/routing/proxied_request.h
@@ -112,10 +112,13 @@
     state_ = State::closed;
   }
 
-  // Closes it without a response: the client left.
-  void abandon() {
+  // The client left.
+  void abandon() override {
     state_ = State::closed;
   }
+  bool is_repeatable() const override {
+    return route_.is_harmless;
+  }
 
   void on_due(TimePoint now) override;
 
--- a/src/coordination/routing/requester.h
+++ b/src/coordination/routing/requester.h
@@ -70,6 +70,12 @@
   // To be called at next_due(), and harmless at other times.
   virtual void on_due(TimePoint now) = 0;
 
+  // Closes it without a result: nobody waits for one any more.
+  virtual void abandon() = 0;
+
+  // Whether its attempts may be broken off at work and sent again: nothing unsafe to repeat.
+  virtual bool is_repeatable() const = 0;
+
   // False once its result is out or it was cancelled; later outcomes are ignored.
   virtual bool is_open() const = 0;
 
--- a/src/protocol/frame.cpp
+++ b/src/protocol/frame.cpp
@@ -21,7 +21,7 @@
     return false;
   const std::uint64_t kind = reader.number();
   if (kind < static_cast<std::uint64_t>(FrameKind::raft) ||
-      kind > static_cast<std::uint64_t>(FrameKind::cluster_status))
+      kind > static_cast<std::uint64_t>(FrameKind::gather_cancel))
     return false;
   head.kind = static_cast<FrameKind>(kind);
   head.incarnation.value = reader.number();
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -33,6 +33,7 @@
   edge_view,               // EdgeViewFrame, from the leader to its peers
   cluster_status_request,  // no fields; from the command line to a registry
   cluster_status,          // ClusterStatus, see cluster_status.h
+  gather_cancel,           // GatherCancel, between brokers
 };
 
 struct FrameHead {
--- a/src/protocol/gather_messages.cpp
+++ b/src/protocol/gather_messages.cpp
@@ -28,6 +28,11 @@
   archive(result.token, result.done, result.failed, result.processing_time, result.records);
 }
 
+template <class Archive>
+void describe_fields(Archive& archive, typename Archive::template Reference<GatherCancel> cancel) {
+  archive(cancel.token);
+}
+
 std::string encode(const FrameHead& head, const GatherRequest& request) {
   return encode_frame(head, FrameKind::gather_request, request);
 }
@@ -36,6 +41,10 @@
   return encode_frame(head, FrameKind::gather_result, result);
 }
 
+std::string encode(const FrameHead& head, const GatherCancel& cancel) {
+  return encode_frame(head, FrameKind::gather_cancel, cancel);
+}
+
 bool decode(ByteReader& reader, GatherRequest& request) {
   return decode_fields(reader, request);
 }
@@ -44,4 +53,8 @@
   return decode_fields(reader, result);
 }
 
+bool decode(ByteReader& reader, GatherCancel& cancel) {
+  return decode_fields(reader, cancel);
+}
+
 }  // namespace saddlewing
--- a/src/protocol/gather_messages.h
+++ b/src/protocol/gather_messages.h
@@ -40,11 +40,19 @@
   std::string records;
 };
 
+// Nobody waits for the results of this gather any more: its client left. Goes over the connection
+// of the request. A broker of an older build drops it and gathers on.
+struct GatherCancel {
+  std::uint64_t token = 0;  // of the GatherRequest
+};
+
 // Encode: a whole frame. Decode: reads what follows the head; false for bytes that are cut short or
 // too long.
 std::string encode(const FrameHead& head, const GatherRequest& request);
 std::string encode(const FrameHead& head, const GatherResult& result);
+std::string encode(const FrameHead& head, const GatherCancel& cancel);
 bool decode(ByteReader& reader, GatherRequest& request);
 bool decode(ByteReader& reader, GatherResult& result);
+bool decode(ByteReader& reader, GatherCancel& cancel);
 
 }  // namespace saddlewing
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -33,6 +33,8 @@
      "Askings beyond the first of a part."},
     {Metric::failed_attempts, "saddlewing_breakdowns_total", MetricKind::counter,
      "Askings that ended without a proper answer."},
+    {Metric::abandoned_attempts, "saddlewing_abandoned_attempts_total", MetricKind::counter,
+     "Attempts broken off because nobody waited for them any more."},
     {Metric::delegated_gathers, "saddlewing_aids_total", MetricKind::counter,
      "Gathers for other brokers."},
     {Metric::client_connections, "saddlewing_visits", MetricKind::gauge,
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -29,6 +29,8 @@
   further_attempts,
   /** Attempts that ended without a proper response. */
   failed_attempts,
+  /** Attempts broken off because nobody waited for them any more. */
+  abandoned_attempts,
   /** Gathers run for other brokers. */
   delegated_gathers,
   /** Open connections of clients. */
--- a/tests/broker/exchange_fixture.h
+++ b/tests/broker/exchange_fixture.h
@@ -8,8 +8,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <semaphore>
 #include <set>
 #include <string>
@@ -113,7 +115,12 @@
     const std::string route = R"("host":"h","service":"s","tries":)" + std::to_string(tries) +
                               R"(,"target_ms":100,"give_up_ms":)";
     const std::string body =
-        R"({"version":1,"services":[{"name":"s","health_path":"/","most_connections":100000}],"routes":[{"path_start":"/once/","sort":"risky",)" +
+        R"({"version":1,"services":[{"name":"s","health_path":"/","most_connections":100000},)"
+        R"({"name":"far-1","health_path":"/","most_connections":9},)"
+        R"({"name":"far-2","health_path":"/","most_connections":9}],)"
+        R"("routes":[{"path_start":"/all/","sort":"harmless","host":"h","ask_all":["far-1","far-2"],)"
+        R"("best_count":1,"fewest_parts":1,"tries":2,"target_ms":5000,"give_up_ms":9000},)"
+        R"({"path_start":"/once/","sort":"risky",)" +
         route + R"(800},{"path_start":"/free/","sort":"harmless",)" + route +
         std::to_string(free_give_up_ms) + "}]}";
     auto view = std::make_shared<View>();
@@ -131,11 +138,18 @@
       entry.capacity = 1000;
       view->backends.push_back(entry);
     }
+    for (const std::string service : {"far-1", "far-2"}) {  // named alone, never reached
+      Endpoint entry = view->backends.at(0);
+      entry.id = entry.service = service;
+      entry.zone = "far";
+      view->backends.push_back(entry);
+    }
+    view->remote_brokers.push_back({"127.0.0.1:1", "q"});
     NodeSettings settings;
     settings.ip_address = "127.0.0.1";
     settings.zone = "z";
     settings.region = "r";
-    settings.zones = {{"z", "r"}};
+    settings.zones = {{"z", "r"}, {"far", "q"}};
     settings.file_handles = 3000;
     settings.retry_share = 50;  // the allowance is another test's matter
     settings.grace = Duration(750);
@@ -148,7 +162,12 @@
     }
     cr_assert(broker_ != nullptr);
     port_ = settings.front.port;
-    broker_->set_sender([this](const DelegationMessage&) {
+    broker_->set_sender([this](const DelegationMessage& message) {
+      if (message.token != 0) {
+        const std::lock_guard lock(delegations_mutex_);
+        delegations_.push_back(message);
+        return true;
+      }
       held_.release();
       resumed_.acquire();
       return true;
@@ -208,16 +227,36 @@
               static_cast<ssize_t>(request.size()));
   }
 
+  // Another broker delegates a gather of one part to this one, or cancels it.
+  void delegate(const std::string& routing_id, std::uint64_t token, const std::string& try_id) {
+    const std::string head = "GET /free/x HTTP/1.1\r\nHost: h\r\nTry-Id: " + try_id + "\r\n";
+    broker_->tell(
+        DelegationRequested{routing_id, {token, "GET", try_id, head, "", {"s"}, 1, 9000, 50}});
+    wait_until([&] { return has_met(try_id); });
+  }
+  void cancel_delegation(const std::string& routing_id, std::uint64_t token) {
+    broker_->tell(DelegationCancelled{routing_id, {token}});
+  }
+  // A client that leaves once its gather was delegated to another broker.
+  void leave_delegated(const std::string& request) {
+    std::vector<Exchange> one(1);
+    one[0].requests = {request};
+    begin(one[0]);
+    wait_until([&] { return delegations().size() == 1; }, &one);
+    end(one[0], Trouble::close);
+  }
+  // Frames to other brokers so far; waits until there are so many.
+  std::vector<DelegationMessage> delegations(std::size_t count) {
+    wait_until([&] { return delegations().size() >= count; });
+    return delegations();
+  }
+
   // A client that sends a request and leaves once a backend is at work on it.
   void leave_at_work(const std::string& request, const std::string& try_id) {
     std::vector<Exchange> one(1);
     one[0].requests = {request};
     begin(one[0]);
-    const TimePoint until = Clock::now() + 10s;
-    while (!has_met(try_id)) {
-      cr_assert(Clock::now() < until, "no backend was reached");
-      turn(one, 10);
-    }
+    wait_until([&] { return has_met(try_id); }, &one);
     end(one[0], Trouble::close);
   }
   // Whether no backend is at work on the request any more before the span is over.
@@ -271,6 +310,17 @@
     Plan plan;
   };
 
+  void wait_until(const std::function<bool()>& holds, std::vector<Exchange>* exchanges = nullptr) {
+    std::vector<Exchange> none;
+    for (const TimePoint until = Clock::now() + 10s; !holds();) {
+      cr_assert(Clock::now() < until, "it did not come about");
+      turn(exchanges ? *exchanges : none, 10);
+    }
+  }
+  std::vector<DelegationMessage> delegations() {
+    const std::lock_guard lock(delegations_mutex_);
+    return delegations_;
+  }
   bool is_at_work(const std::string& try_id) const {
     return std::ranges::any_of(lines_, [&](const auto& item) {
       return item.second.is_mute && item.second.try_id == try_id;
@@ -462,6 +512,8 @@
   std::vector<Door> doors_;
   std::map<int, Line> lines_;
   std::binary_semaphore held_{0}, resumed_{0};
+  std::mutex delegations_mutex_;
+  std::vector<DelegationMessage> delegations_;  // to other brokers, by the broker's thread
   std::unique_ptr<BrokerLoop> broker_;
   int port_ = 0;
   std::map<std::string, std::vector<Run>> runs_;
--- a/tests/protocol/frame_values.h
+++ b/tests/protocol/frame_values.h
@@ -119,6 +119,9 @@
   return fields(left) == fields(right);
 }
 
+inline bool operator==(const GatherCancel& left, const GatherCancel& right) {
+  return left.token == right.token;
+}
 inline bool operator==(const GatherResult::CompletedPart& left,
                        const GatherResult::CompletedPart& right) {
   return std::tie(left.part, left.checksum) == std::tie(right.part, right.checksum);
--- a/tests/protocol/wire_format_test.cpp
+++ b/tests/protocol/wire_format_test.cpp
@@ -184,6 +184,8 @@
                             "records"};
   check_frame("delegated_gather_answer_full", FrameKind::gather_result, answer);
   check_frame("delegated_gather_answer_empty", FrameKind::gather_result, GatherResult{});
+  check_frame("delegated_gather_cancel_full", FrameKind::gather_cancel, GatherCancel{129});
+  check_frame("delegated_gather_cancel_empty", FrameKind::gather_cancel, GatherCancel{});
 }
 
 Test(wire_format, ring_calls) {
@@ -206,11 +208,11 @@
 
 // Every kind by its number, and what is no head of a frame of this protocol.
 Test(wire_format, heads) {
-  for (std::uint64_t number = 0; number <= 20; ++number) {
+  for (std::uint64_t number = 0; number <= 21; ++number) {
     const std::string bytes = open_frame(frame_sender(), static_cast<FrameKind>(number)).take();
     ByteReader reader(bytes);
     FrameHead head;
-    const bool is_known = number >= 1 && number <= 18;
+    const bool is_known = number >= 1 && number <= 19;
     cr_expect(decode_head(reader, head) == is_known, "kind %d", static_cast<int>(number));
     if (is_known)
       expect_fixture(frame_fixture("head_kind_" + std::to_string(number)), bytes);
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -163,7 +163,7 @@
 
 
 def check_configuration_register(history: History) -> Iterator[Violation]:
-    """CONFIG, LOST: reads and writes of the configuration are linearizable, highest version wins."""
+    """CONFIG, LOST: reads and writes are linearizable; the highest version wins."""
     bodies = {}
     for put in history.puts:
         if put.is_valid:
