Sight and invariants: failed requests are explained, what must hold is checked

Cause: of a request that failed nothing told afterwards why, and what must always hold was tested by parts alone. Change: each attempt is kept with backend, times, end, and whether it may have run; FailureLog counts failures by reason and route, logs a line each within a bound, and gives the last 256 at /failures of a broker's ready_check address (one more row in the table of calls and its fixture). 15 invariants (state/invariants.h) are checked in release builds, counted, logged once, and answered by refusing; a violation ends a test and breaks the model. A push into a full queue is no longer ignored in silence.

--- a/src/broker/backend_connection.cpp
+++ b/src/broker/backend_connection.cpp
@@ -64,6 +64,9 @@
   // Nothing may be lost on a connection that has ended meanwhile, as behind its last answer or
   // while this process stood still: what may run once could not be asked again, anything else would
   // spend one of its few tries there.
+  if (!holds(Invariant::one_attempt_per_connection, !context_,
+             [&] { return "backend " + backend_->id + " try " + context_->try_id; }))
+    return false;
   if (!caller_.is_quiet())
     return false;
   const std::string head = loop_.head_for(*context, *backend_, now);
@@ -83,6 +86,8 @@
   context_->at_work.push_back(this);
   is_abandoned_ = false;
   part_ = part;
+  record_ = context_->attempts.size();
+  context_->attempts.push_back({backend_, part, now});
   asked_ = now;
   ++backend_->active_requests;
   backend_->last_request_at = now;
@@ -100,7 +105,14 @@
           << (may_have_run ? ", sent: " : ", not sent: ") << make_error(kind, "asking").text();
 }
 
-RequestContextPointer BackendConnection::release() {
+// The attempt is over.
+RequestContextPointer BackendConnection::release(AttemptEnd end, int status, bool may_have_run,
+                                                 TimePoint now) {
+  AttemptRecord& record = context_->attempts[record_];
+  record.ended = now;
+  record.end = end;
+  record.status = status;
+  record.may_have_run = may_have_run;
   --backend_->active_requests;
   if (is_heavy_)
     --backend_->active_heavy_requests;
@@ -121,7 +133,7 @@
   if (now - asked_ >= stalled_least)
     backend_->breaker.record_failure(now, false);
   metrics().add(Metric::abandoned_attempts);
-  release();
+  release(AttemptEnd::broken_off_here, 0, caller_.has_sent(), now);
   caller_.abort();
   loop_.defer_delete(this);
 }
@@ -137,7 +149,7 @@
   if (!caller_.was_connected()) {
     backend_->breaker.record_failure(now, true);
     report_failure(ErrorCode::no_response, false);
-    const RequestContextPointer context = release();
+    const RequestContextPointer context = release(AttemptEnd::not_connected, 0, false, now);
     const std::size_t part = part_;
     loop_.count_edge(backend_->service, backend_->zone, EdgeClass::light, elapsed(asked_, now),
                      true);
@@ -157,7 +169,7 @@
   loop_.count_edge(backend_->service, backend_->zone,
                    is_heavy_ ? EdgeClass::heavy : EdgeClass::light, elapsed(asked_, now), true);
   report_failure(ErrorCode::no_response, true);
-  const RequestContextPointer context = release();
+  const RequestContextPointer context = release(AttemptEnd::no_answer, 0, true, now);
   caller_.end();
   loop_.defer_delete(this);
   context->requester->handle_failure(part_, ErrorCode::no_response, true, now);
@@ -233,7 +245,9 @@
   const Duration idle = idle_span(response);
   if (response.has("Keep-Alive"))
     loop_.idle_spans_[backend_->service] = idle;
-  const RequestContextPointer context = release();
+  const RequestContextPointer context =
+      release(outcome.is_not_run ? AttemptEnd::refused : AttemptEnd::answered, outcome.status,
+              !outcome.is_not_run, now);
   if (is_ended() || backend_->is_draining || idle <= Duration(0)) {
     loop_.defer_delete(this);
   } else {
@@ -259,7 +273,9 @@
   const bool may_have_run = caller.has_sent();
   report_failure(kind, may_have_run);
   const std::size_t part = part_;
-  const RequestContextPointer context = release();
+  const RequestContextPointer context =
+      release(may_have_run ? AttemptEnd::broken_off_there : AttemptEnd::not_connected, 0,
+              may_have_run, now);
   loop_.defer_delete(this);
   context->requester->handle_failure(part, kind, may_have_run, now);
   loop_.arrange(*context);
--- a/src/broker/broker_loop.cpp
+++ b/src/broker/broker_loop.cpp
@@ -86,7 +86,7 @@
     check_leaving(now);
     if (is_leaving_ && (now - left_ > settings_.grace - before_end ||
                         (now - left_ > still_chosen && server_.count() == 0)))
-      return;
+      return record_cut_requests(now);
   }
 }
 
@@ -105,6 +105,14 @@
 }
 
 void BrokerLoop::take_view(ViewSnapshot view, TimePoint now) {
+  const auto version_of = [](const View& some) {
+    return some.configuration ? some.configuration->version : Version{};
+  };
+  if (!holds(Invariant::version_in_force_never_falls, version_of(*view) >= version_of(*view_), [&] {
+        return "version " + std::to_string(version_of(*view).value) + " after " +
+               std::to_string(version_of(*view_).value);
+      }))
+    return;
   view_ = std::move(view);
   std::map<std::string, BackendPointer> kept;
   for (const Endpoint& entry : view_->backends) {
@@ -164,29 +172,38 @@
 
 void BrokerLoop::begin(ServerExchange& exchange, const RequestContext* before, TimePoint now) {
   if (!view_->is_ready || !table_) {
+    record_refusal(exchange, nullptr, ErrorCode::not_ready, now);
     Reply reply = reply_of(ErrorCode::not_ready);
     reply.fields += "Retry-After: 0.3\r\n";
     return exchange.answer(std::move(reply), now);
   }
   const auto& request = exchange.request();
   const Route* route = table_->configuration->match(request.get("Host", ""), request.getURI());
-  if (!route)
+  if (!route) {
+    record_refusal(exchange, nullptr, ErrorCode::no_route, now);
     return exchange.answer(reply_of(ErrorCode::no_route), now);
+  }
   if (!before)
     metrics().add(Metric::requests);
   if (route->rank >= alerts_.refuse_from()) {
     metrics().add(Metric::refusals);
+    record_refusal(exchange, route, ErrorCode::overloaded, now);
     Reply reply = reply_of(ErrorCode::overloaded);
     reply.fields += "Retry-After: 1\r\n";
     return exchange.answer(std::move(reply), now);
   }
   auto context = std::make_shared<RequestContext>(*this, exchange.id());
   context->try_id = request.get(header_name::try_id, "");
-  if (context->try_id.empty())
+  if (context->try_id.empty()) {
+    record_refusal(exchange, route, ErrorCode::malformed, now);
     return exchange.answer(reply_of(ErrorCode::malformed, "a request needs its Try-Id"), now);
+  }
   std::optional<ServiceIndex> placed;
-  if (before)
-    context->rounds = before->rounds + 1, context->connections = before->connections;
+  if (before) {
+    context->rounds = before->rounds + 1;
+    context->connections = before->connections;
+    context->attempts = before->attempts;
+  }
   if (is_of_ring(*route) && !position(exchange, *route, *context, placed, now))
     return;
   context->method = request.getMethod();
@@ -223,6 +240,8 @@
     return;
   ProxiedRequest* proxied_request = found->second;
   by_exchange_.erase(found);
+  if (const auto context = contexts_.find(proxied_request); context != contexts_.end())
+    record_failure(*context->second, "client left", 0, Clock::now());
   cancel_delegation(*proxied_request);
   abandon(*proxied_request, Clock::now());
 }
@@ -274,6 +293,11 @@
 
 bool BrokerLoop::send_attempt(Requester& requester, std::size_t part, Backend& backend,
                               TimePoint now) {
+  if (!holds(Invariant::no_attempt_after_close, requester.is_open(),
+             [&] { return "backend " + backend.id; }) ||
+      !holds(Invariant::no_attempt_to_draining_backend, !backend.is_draining,
+             [&] { return "backend " + backend.id; }))
+    return false;
   const auto context = contexts_.find(&requester);
   const auto pointer = backends_.find(backend.id);
   if (context == contexts_.end() || pointer == backends_.end() || pointer->second.get() != &backend)
@@ -305,6 +329,13 @@
   if (found == contexts_.end())
     return;
   const RequestContextPointer context = found->second;
+  if (answer.kind != ErrorCode::none)
+    record_failure(*context, make_error_code(answer.kind).message(),
+                   status_line_of(answer.kind).status, now);
+  else if (answer.status >= 500)
+    record_failure(*context, "the backend's own answer", answer.status, now);
+  else if (proxied_request.parts_done() < proxied_request.part_count())
+    record_failure(*context, "parts missing", answer.status, now);
   end_context(&proxied_request);
   by_exchange_.erase(context->exchange);
   ServerExchange* exchange = server_.find(context->exchange);
--- a/src/broker/broker_loop.h
+++ b/src/broker/broker_loop.h
@@ -8,6 +8,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "broker/attempt_record.h"
+#include "broker/failure_log.h"
 #include "control_client/control_plane_client.h"
 #include "coordination/routing/alerts.h"
 #include "coordination/routing/bulkhead.h"
@@ -15,6 +17,7 @@
 #include "coordination/routing/fair_queue.h"
 #include "coordination/routing/proxied_request.h"
 #include "protocol/gather_messages.h"
+#include "state/invariants.h"
 #include "transport/http_client_connection.h"
 #include "transport/http_server.h"
 
@@ -46,6 +49,7 @@
   TimePoint began{};
   Duration target{0};
   std::vector<BackendConnection*> at_work;  // over which an attempt is under way
+  std::vector<AttemptRecord> attempts;      // in the order of their beginning
   std::vector<std::uint64_t> connections;   // asked over, each once: of a surplus answer there
                                             // nobody could tell which asking it is to
   std::string method, try_id, head_start,
@@ -81,7 +85,7 @@
   void on_due(TimePoint now) override;
 
  private:
-  RequestContextPointer release();
+  RequestContextPointer release(AttemptEnd end, int status, bool may_have_run, TimePoint now);
   void break_off(TimePoint now);
   void report_failure(ErrorCode kind, bool may_have_run) const;
   void read_load(const Poco::Net::HTTPResponse& response, TimePoint now);
@@ -92,6 +96,7 @@
   HttpClientConnection caller_;
   RequestContextPointer context_;  // null while idle
   std::size_t part_ = 0;
+  std::size_t record_ = 0;  // in RequestContext::attempts
   bool is_heavy_ = false;
   TimePoint asked_{};
   bool is_connect_checked_ = false;
@@ -109,7 +114,7 @@
     views_.replace(std::move(view));
   }
   void tell(DelegationEvent event) {
-    delegation_events_.push(std::move(event));
+    hand_over(delegation_events_, std::move(event), "event of a delegated gather");
   }
   void handle_delegation_event(DelegationEvent& event, TimePoint now);  // the traffic thread alone
   // Rules from now on; a wrong file is logged and the rules before it stay.
@@ -121,10 +126,10 @@
     control_client_ = &follower;
   }
   void turn_ring(RingUpdate news) {
-    ring_news_.push(std::move(news));
+    hand_over(ring_news_, std::move(news), "view of the ring");
   }
   void turn_edges(EdgeUpdate news) {
-    edge_news_.push(std::move(news));
+    hand_over(edge_news_, std::move(news), "view of edges");
   }
   void leave() {
     should_leave_ = true;
@@ -137,6 +142,7 @@
 
   void on_request(ServerExchange& exchange, TimePoint now) override;
   void on_gone(ServerExchange& exchange) override;
+  void on_refused(ServerExchange& exchange, ErrorCode kind, TimePoint now) override;
   bool send_attempt(Requester& requester, std::size_t part, Backend& backend,
                     TimePoint now) override;
   ProxiedRequest::Callbacks::Delegation delegate(ProxiedRequest& proxied_request,
@@ -164,6 +170,7 @@
  private:
   friend class BackendConnection;
   friend struct RequestContext;
+  friend struct InvariantProbe;  // tests plant faults
   class Readiness final : public HttpServer::Handler {
    public:
     explicit Readiness(const BrokerLoop& loop) : loop_(loop) {
@@ -210,6 +217,12 @@
   void keep_warm(const BackendPointer& backend);
   void check_leaving(TimePoint now);
   void show_gauges() const;
+  void check_tables() const;
+  // Notes a request that was refused before it began.
+  void record_refusal(ServerExchange& exchange, const Route* route, ErrorCode kind, TimePoint now);
+  // Notes a request that failed, with its attempts. `status`: of the response; 0: none went out.
+  void record_failure(const RequestContext& context, std::string reason, int status, TimePoint now);
+  void record_cut_requests(TimePoint now);
 
   void record_work(const RequestContext& context, const Backend& backend, Duration took,
                    std::size_t bytes, TimePoint now);
@@ -290,6 +303,7 @@
   std::unordered_map<const Backend*, std::vector<BackendConnection*>> idle_;
   std::unordered_map<BackendConnection*, std::unique_ptr<BackendConnection>> connections_;
   std::vector<std::unique_ptr<BackendConnection>> closed_connections_;
+  FailureLog failures_;
   std::vector<RequestContextPointer> ended_contexts_;
   ControlPlaneClient* control_client_ = nullptr;
   BoundedQueue<RingUpdate> ring_news_;
--- a/src/control_client/control_plane_client.cpp
+++ b/src/control_client/control_plane_client.cpp
@@ -38,7 +38,7 @@
       delegations_(
           context_, frame_server_, [this] { waker_.wake(); }, std::move(notify_delegation)),
       trace_(max_trace_events) {
-  seeds_.push(settings.contacts);
+  seeds_.replace(settings.contacts);
 }
 
 Error ControlPlaneClient::open() {
--- a/src/control_client/edge_subscription.h
+++ b/src/control_client/edge_subscription.h
@@ -23,7 +23,7 @@
 
   // Counts since the last report, as EdgeCounts encodes them.
   void report(std::string counts) {
-    reports_.push(std::move(counts));
+    hand_over(reports_, std::move(counts), "counts of edges");
   }
 
   // Adds the revision held and, for the source, the counts since the last request to it.
--- a/src/control_client/pooler_subscription.h
+++ b/src/control_client/pooler_subscription.h
@@ -42,7 +42,7 @@
   bool take_confirmation();
 
   void report(LeadershipEvidence evidence) {
-    reports_.push(std::move(evidence));
+    hand_over(reports_, std::move(evidence), "evidence of leaderships");
   }
 
   // Takes the newest reported evidence; once for each turn of requests.
--- a/src/control_client/ring_subscription.h
+++ b/src/control_client/ring_subscription.h
@@ -29,7 +29,7 @@
   bool take_confirmation();
 
   void report(RingCounts counts) {
-    reports_.push(std::move(counts));
+    hand_over(reports_, std::move(counts), "counts of the ring");
   }
 
   // Adds the revisions and, for the leader, the counts since the last request to it.
--- a/src/coordination/raft/pending_calls.h
+++ b/src/coordination/raft/pending_calls.h
@@ -57,6 +57,9 @@
     std::uint64_t origin_token = 0;
     Term origin_term;  // known there when it was passed on
 
+    // The newest version that was committed here when the call came.
+    Version committed_before;
+
     std::string sent_to;  // who has it now; empty: nobody yet
     Term asked_term;      // known here when it was sent
     TimePoint deadline;
--- a/src/coordination/raft/raft_node.cpp
+++ b/src/coordination/raft/raft_node.cpp
@@ -1,6 +1,7 @@
 // A node's messages, clock, saves and output.
 #include "coordination/raft/raft_node.h"
 #include "protocol/raft_messages.h"
+#include "state/invariants.h"
 
 #include <algorithm>
 #include <utility>
@@ -30,6 +31,7 @@
     : persistent_(std::move(persistent)),
       options_(std::move(options)),
       contacts_(std::move(contacts)),
+      last_saved_(persistent_),
       election_(options_.election_timeout, options_.heartbeat_interval, options_.random_seed) {
   reset_election_timer(now);
   if (!is_voter(persistent_.self))
@@ -189,10 +191,39 @@
   advance_commit_index(now);
 }
 
+// A state that went back is not saved, so no message that relies on it leaves.
+bool RaftNode::may_save() const {
+  const PersistentState& before = last_saved_;
+  const PersistentState& next = persistent_;
+  const bool is_same_term = next.current_term == before.current_term;
+  const bool may_vote =
+      !is_same_term || before.voted_for.value == 0 || next.voted_for == before.voted_for;
+  const bool is_term_kept = holds(Invariant::term_and_vote_never_go_back,
+                                  next.current_term >= before.current_term && may_vote, [&] {
+                                    return "term " + std::to_string(next.current_term.value) +
+                                           " vote " + std::to_string(next.voted_for.value) +
+                                           " after term " +
+                                           std::to_string(before.current_term.value) + " vote " +
+                                           std::to_string(before.voted_for.value);
+                                  });
+  const bool is_entry_kept = holds(Invariant::entry_never_goes_back,
+                                   std::pair(next.entry->term, next.entry->index) >=
+                                       std::pair(before.entry->term, before.entry->index),
+                                   [&] {
+                                     return "entry " + std::to_string(next.entry->index.value) +
+                                            " of term " + std::to_string(next.entry->term.value) +
+                                            " after " + std::to_string(before.entry->index.value) +
+                                            " of term " + std::to_string(before.entry->term.value);
+                                   });
+  return is_term_kept && is_entry_kept;
+}
+
 RaftNode::Output RaftNode::take_output(TimePoint now) {
   Output output;
-  if (const auto serial = outbox_.begin_save(now))
+  if (const auto serial = outbox_.begin_save(now); serial && may_save()) {
     output.save = Save{*serial, persistent_};
+    last_saved_ = persistent_;
+  }
   output.messages = outbox_.take_sendable(persistent_.current_term);
   output.results = requests_.take_results();
   return output;
--- a/src/coordination/raft/raft_node.h
+++ b/src/coordination/raft/raft_node.h
@@ -153,7 +153,8 @@
   ClusterStatus status(TimePoint now) const;
 
  private:
-  friend struct RaftNodeProbe;  // tools/model_probe.h: tells states apart
+  friend struct RaftNodeProbe;   // tools/model_probe.h: tells states apart
+  friend struct InvariantProbe;  // tests plant faults
 
   // raft_node.cpp
   RaftMessage make_message(RaftMessage::Type type) const;
@@ -166,6 +167,8 @@
   const ReplicationProgress* progress_of(MemberId id) const;
   bool has_committed_in_term() const;
   bool may_campaign() const;
+  bool may_save() const;
+  bool is_other_leader_of_term(const RaftMessage& message) const;
   void tick_leader(TimePoint now);
   void tick_follower(bool is_disk_stalled, TimePoint now);
   void handle_join_reply(const RaftMessage& message);
@@ -189,6 +192,7 @@
 
   // raft_replication.cpp: entries from the leader to the others
   void set_entry(EntrySnapshot entry);
+  void set_committed(EntrySnapshot entry);
   void append_entry(std::vector<Member> members, std::vector<Member> outgoing, TimePoint now);
   void update_peers(TimePoint now);
   void propose_pending(TimePoint now);
@@ -228,6 +232,7 @@
   // mark_entry_changed(); current_term and the last entry's (term, index) never fall.
   PersistentState persistent_;
   PersistentOutbox outbox_;
+  PersistentState last_saved_;  // given out to be saved last, or loaded
   RaftOptions options_;
   std::vector<std::string> contacts_;
 
--- a/src/coordination/raft/raft_replication.cpp
+++ b/src/coordination/raft/raft_replication.cpp
@@ -5,6 +5,7 @@
 #include "coordination/raft/quorum.h"
 #include "coordination/raft/raft_node.h"
 #include "protocol/raft_messages.h"
+#include "state/invariants.h"
 
 namespace saddlewing {
 
@@ -46,6 +47,19 @@
   outbox_.mark_entry_changed();
 }
 
+void RaftNode::set_committed(EntrySnapshot entry) {
+  const bool is_kept = !committed_ || (std::pair(entry->term, entry->index) >=
+                                           std::pair(committed_->term, committed_->index) &&
+                                       entry->version >= committed_->version);
+  if (holds(Invariant::commit_never_goes_back, is_kept, [&] {
+        return "version " + std::to_string(entry->version.value) + " at " +
+               std::to_string(entry->index.value) + " after version " +
+               std::to_string(committed_->version.value) + " at " +
+               std::to_string(committed_->index.value);
+      }))
+    committed_ = std::move(entry);
+}
+
 // Appends the present state under the next index, with the pending proposals and these members.
 void RaftNode::append_entry(std::vector<Member> members, std::vector<Member> outgoing,
                             TimePoint now) {
@@ -101,7 +115,7 @@
   if (!is_replicated)
     return;
   is_replicating_ = false;
-  committed_ = persistent_.entry;
+  set_committed(persistent_.entry);
   requests_.finish_in_flight();
   broadcast_append_entries(now, true);
   // A joint configuration is followed at once by the new members alone.
@@ -186,9 +200,19 @@
   return result;
 }
 
+bool RaftNode::is_other_leader_of_term(const RaftMessage& message) const {
+  return message.term == persistent_.current_term &&
+         (role_ == Role::leader || (leader_.is_known() && leader_.id != message.from));
+}
+
 void RaftNode::handle_append_entries(const RaftMessage& message, TimePoint now) {
   if (message.term < persistent_.current_term)
     return send(message.address, make_message(Type::append_entries_reply), true);
+  if (!holds(Invariant::one_leader_per_term, !is_other_leader_of_term(message), [&] {
+        return "term " + std::to_string(message.term.value) + " from " + message.address +
+               (role_ == Role::leader ? ", led here" : ", led by " + leader_.address);
+      }))
+    return;
   if (message.term > persistent_.current_term || role_ != Role::follower)
     become_follower(message.term, now);
   leader_.set(message.from, message.address);
@@ -203,7 +227,7 @@
   const auto result = message.chunk ? receive_chunk(message) : ChunkAssembler::Result::incomplete;
   // What this leader sent in its term and committed since is committed here, too.
   if (persistent_.entry->term == message.term && persistent_.entry->index <= message.commit_index)
-    committed_ = persistent_.entry;
+    set_committed(persistent_.entry);
   RaftMessage reply = make_message(Type::append_entries_reply);
   reply.heartbeat_round = message.heartbeat_round;
   reply.chunk_entry_index = chunk_assembler_.entry_index();
--- a/src/coordination/routing/proxied_request.cpp
+++ b/src/coordination/routing/proxied_request.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "state/invariants.h"
 #include "state/metrics.h"
 
 namespace saddlewing {
@@ -90,7 +91,8 @@
   if (is_retry &&
       !callbacks_.retry_budget(service.name).allows_retry(now, callbacks_.retry_reserve(now))) {
     if (!part.attempts_active)
-      fail_part(part, failure_ == ErrorCode::none ? ErrorCode::refused_by_backends : failure_, now);
+      fail_part(part, failure_ == ErrorCode::none ? ErrorCode::refused_by_backends : failure_,
+                StopReason::retry_budget_empty);
     return;
   }
   const PickResult picked = pick_backend(part, is_hedge, now);
@@ -99,13 +101,15 @@
       wait_for_backend(part, picked.is_full, now);
     return;
   }
+  if (!may_send(part))
+    return fail_part(part, ErrorCode::connection_lost, StopReason::may_have_run);
   part.tried.push_back(picked.backend);
   if (!callbacks_.send_attempt(*this, index, *picked.backend, now)) {
     ++part.attempts_unreached;
     if (!is_hedge && may_retry(part))
       start_attempt(index, false, now);
     else if (!part.attempts_active)
-      fail_part(part, ErrorCode::refused_connection, now);
+      fail_part(part, ErrorCode::refused_connection, StopReason::unreachable);
     return;
   }
   if (is_retry) {
@@ -119,6 +123,24 @@
   part.extra_expected_ms = picked.backend->mean_ms - picked.backend->min_ms;
 }
 
+bool ProxiedRequest::may_send(const Part& part) const {
+  const int may_have_run = part.attempts_before_restart + part.attempts_sent;
+  const bool is_within_tries =
+      holds(Invariant::attempts_within_tries, may_have_run < std::max(1, route_.tries),
+            [&] { return "route " + route_.name + " attempts " + std::to_string(may_have_run); });
+  const bool is_single = holds(Invariant::unsafe_request_runs_once,
+                               route_.is_harmless || (!has_executed_ && !is_at_work()), [&] {
+                                 return "route " + route_.name + (has_executed_ ? " has run" : "") +
+                                        (is_at_work() ? " is at work" : "");
+                               });
+  return is_within_tries && is_single;
+}
+
+bool ProxiedRequest::is_at_work() const {
+  return std::any_of(parts_.begin(), parts_.end(),
+                     [](const Part& part) { return part.attempts_active > 0; });
+}
+
 PickResult ProxiedRequest::pick_backend(const Part& part, bool is_hedge, TimePoint now) {
   const Service& service = service_of(part);
   const auto& backends = table_->by_service[part.service.value];
@@ -134,17 +156,18 @@
 
 void ProxiedRequest::wait_for_backend(Part& part, bool is_full, TimePoint now) {
   if (!is_full)
-    return fail_part(part, ErrorCode::no_backend_up, now);
+    return fail_part(part, ErrorCode::no_backend_up, StopReason::no_backend_left);
   if (!is_gathering() && now - began_ > route_.target / max_queued_divisor)
-    return fail_part(part, ErrorCode::overloaded, now);
+    return fail_part(part, ErrorCode::overloaded, StopReason::backends_full);
   part.attempted_at = {};
   state_ = State::queued;
 }
 
-void ProxiedRequest::fail_part(Part& part, ErrorCode kind, TimePoint) {
+void ProxiedRequest::fail_part(Part& part, ErrorCode kind, StopReason reason) {
   if (part.is_failed || part.is_done)
     return;
   part.is_failed = true;
+  stop_reason_ = reason;
   ++failed_;
   if (failure_ == ErrorCode::none || status_line_of(failure_).status == 503)
     failure_ = kind;
@@ -167,7 +190,7 @@
     return handle_success(part, std::move(response), took, now);
   // Passed on, its status would promise the client that it has not run and never will.
   if (!route_.is_harmless && !is_not_run && promises_not_run(response.status)) {
-    fail_part(part, ErrorCode::connection_lost, now);
+    fail_part(part, ErrorCode::connection_lost, StopReason::may_have_run);
     return evaluate(now);
   }
   if (!is_gathering() && !is_not_run) {
@@ -203,7 +226,7 @@
   if (may_retry(part))
     start_attempt(index, false, now);
   else
-    fail_part(part, kind, now);
+    fail_part(part, kind, StopReason::tries_used);
 }
 
 void ProxiedRequest::handle_failure(std::size_t index, ErrorCode kind, bool may_have_run,
@@ -221,7 +244,7 @@
   if (part.is_done || part.is_failed)
     return;
   if (may_have_run && !route_.is_harmless)
-    fail_part(part, kind, now);
+    fail_part(part, kind, StopReason::may_have_run);
   else
     retry_or_fail(index, kind, now);
   if (is_open())
@@ -229,6 +252,8 @@
 }
 
 void ProxiedRequest::finish_at_deadline(TimePoint now) {
+  if (stop_reason_ == StopReason::none)
+    stop_reason_ = StopReason::deadline;
   if (failure_ == ErrorCode::none || status_line_of(failure_).status == 503) {
     const bool may_have_run = has_executed_ || done_ > 0 || state_ != State::queued;
     failure_ = may_have_run ? ErrorCode::deadline_reached : ErrorCode::overloaded;
@@ -341,16 +366,27 @@
   FinalResponse response;
   response.kind = failure_;
   // 503 promises that nothing ran and nothing will: an attempt under way forbids it.
-  const bool is_at_work = std::any_of(parts_.begin(), parts_.end(),
-                                      [](const Part& part) { return part.attempts_active > 0; });
-  if (status_line_of(failure_).status == 503 && (has_executed_ || is_at_work || done_))
-    response.kind = is_at_work ? ErrorCode::deadline_reached : ErrorCode::connection_lost;
+  if (status_line_of(failure_).status == 503 && (has_executed_ || is_at_work() || done_))
+    response.kind = is_at_work() ? ErrorCode::deadline_reached : ErrorCode::connection_lost;
   if (status_line_of(response.kind).status == 503)
     response.retry_after = retry_after;
   finish(std::move(response), now);
 }
 
 void ProxiedRequest::finish(FinalResponse response, TimePoint now) {
+  const bool is_first = state_ != State::responding && state_ != State::closed;
+  if (!holds(Invariant::one_response_per_request, is_first, [&] { return "route " + route_.name; }))
+    return;
+  const bool is_own = response.kind != ErrorCode::none;
+  const int status = is_own ? status_line_of(response.kind).status : response.status;
+  // Of a request that may be repeated a backend's own word is passed on as it is.
+  const bool is_promise = promises_not_run(status) && (is_own || !route_.is_harmless);
+  if (!holds(Invariant::refusal_means_nothing_ran,
+             !is_promise || (!has_executed_ && !is_at_work() && !done_),
+             [&] { return "route " + route_.name + " status " + std::to_string(status); })) {
+    response = {};
+    response.kind = ErrorCode::connection_lost;
+  }
   state_ = State::responding;
   callbacks_.send_response(*this, std::move(response), now);
   state_ = State::closed;
--- a/src/coordination/routing/proxied_request.h
+++ b/src/coordination/routing/proxied_request.h
@@ -18,6 +18,7 @@
 #include "coordination/routing/record_merge.h"
 #include "coordination/routing/requester.h"
 #include "coordination/routing/retry_budget.h"
+#include "coordination/routing/stop_reason.h"
 #include "protocol/gather_messages.h"
 
 namespace saddlewing {
@@ -166,8 +167,20 @@
   const RoutingTable& table() const {
     return *table_;
   }
+  // Why the part that failed last got no further attempt.
+  StopReason stop_reason() const {
+    return stop_reason_;
+  }
+  std::size_t part_count() const {
+    return parts_.size();
+  }
+  std::size_t parts_done() const {
+    return done_;
+  }
 
  private:
+  friend struct InvariantProbe;  // tests plant faults
+
   // One service's share of the request: the whole of it, or one shard of a gather.
   struct Part {
     ServiceIndex service;
@@ -202,7 +215,7 @@
   void handle_success(Part& part, BackendResponse response, Duration took, TimePoint now);
   // After an attempt failed; does nothing while another one for the part is under way.
   void retry_or_fail(std::size_t index, ErrorCode kind, TimePoint now);
-  void fail_part(Part& part, ErrorCode kind, TimePoint now);
+  void fail_part(Part& part, ErrorCode kind, StopReason reason);
   bool may_retry(const Part& part) const;
   const Service& service_of(const Part& part) const {
     return table_->configuration->services[part.service.value];
@@ -214,6 +227,9 @@
   void schedule(TimePoint now);
   void finish_gathered(TimePoint now);
   void finish(FinalResponse response, TimePoint now);
+  // Whether the invariants allow one more attempt for the part.
+  bool may_send(const Part& part) const;
+  bool is_at_work() const;
   void finish_failed(TimePoint now);
   // Responds with what there is: a partial gather if it holds enough parts, or an error.
   void finish_at_deadline(TimePoint now);
@@ -245,6 +261,7 @@
   TopRecords top_records_;  // of the parts that are done
   std::size_t done_ = 0;    // parts
   std::size_t failed_ = 0;  // parts
+  StopReason stop_reason_ = StopReason::none;
   // How much work parts took against what is usual with their backends, to tell a heavy request.
   double relative_cost_sum_ = 0;
   std::size_t relative_cost_count_ = 0;
--- a/src/coordination/routing/proxied_request_start.cpp
+++ b/src/coordination/routing/proxied_request_start.cpp
@@ -19,6 +19,7 @@
   }
   if (!has_enough_backends()) {
     failure_ = ErrorCode::no_backend_up;
+    stop_reason_ = StopReason::no_backend_left;
     return finish_failed(now);
   }
   state_ = State::attempting;
--- a/src/pooler/pooler_loop.cpp
+++ b/src/pooler/pooler_loop.cpp
@@ -261,8 +261,9 @@
 void PoolerLoop::Readiness::on_request(ServerExchange& exchange, TimePoint now) {
   const std::string& target = exchange.request().getURI();
   if (target == row_of(HttpCall::metrics).path)
-    return exchange.answer(
-        {200, "OK", "Content-Type: text/plain; version=0.0.4\r\n", metrics().page()}, now);
+    return exchange.answer({200, "OK", "Content-Type: text/plain; version=0.0.4\r\n",
+                            metrics().page() + violations_page()},
+                           now);
   if (target.substr(0, target.find('?')) != row_of(HttpCall::readiness).path)
     return exchange.answer(reply_of(ErrorCode::no_route), now);
   if (pooling_.is_ready())
--- a/src/pooler/pooler_loop.h
+++ b/src/pooler/pooler_loop.h
@@ -31,10 +31,10 @@
     views_.replace(std::move(view));
   }
   void lease(LeadershipUpdate news) {
-    leases_.push(std::move(news));
+    hand_over(leases_, std::move(news), "leases of leaderships");
   }
   void sample(SampleUpdate news) {
-    samples_in_.push(std::move(news));
+    hand_over(samples_in_, std::move(news), "samples of log positions");
   }
   void leave() {
     should_leave_ = true;
--- a/src/protocol/http_calls.h
+++ b/src/protocol/http_calls.h
@@ -12,6 +12,7 @@
   list_backends,  // registry to the platform
   probe_backend,  // registry to a backend, at the path that its service names
   metrics,        // operator to any node
+  failures,       // operator to a broker: the last requests that failed, at its ready_check address
   heartbeat,      // backend to a registry: renews its lease
   deregister,     // backend to a registry: it leaves
   promote,        // registry to the platform: make a database the leader
@@ -25,11 +26,16 @@
 };
 
 inline constexpr HttpCallRow http_calls[] = {
-    {HttpCall::put_settings, "PUT", "/settings"},   {HttpCall::get_settings, "GET", "/settings"},
-    {HttpCall::readiness, "GET", "/readiness"},     {HttpCall::list_backends, "GET", "/backends"},
-    {HttpCall::probe_backend, "GET", ""},           {HttpCall::metrics, "GET", "/metrics"},
+    {HttpCall::put_settings, "PUT", "/settings"},
+    {HttpCall::get_settings, "GET", "/settings"},
+    {HttpCall::readiness, "GET", "/readiness"},
+    {HttpCall::list_backends, "GET", "/backends"},
+    {HttpCall::probe_backend, "GET", ""},
+    {HttpCall::metrics, "GET", "/metrics"},
+    {HttpCall::failures, "GET", "/failures"},
     {HttpCall::heartbeat, "PUT", "/backends/"},  // and the backend's id
-    {HttpCall::deregister, "DELETE", "/backends/"}, {HttpCall::promote, "POST", "/raise"},
+    {HttpCall::deregister, "DELETE", "/backends/"},
+    {HttpCall::promote, "POST", "/raise"},
     {HttpCall::move_step, "POST", "/ring/moves"},  // of this project, to nodes of the ring
 };
 
--- a/src/registry/backend_monitor.cpp
+++ b/src/registry/backend_monitor.cpp
@@ -230,7 +230,7 @@
     }
     if (!listing_.token.empty())
       return start_page(now);
-    events_.push(BackendListing{std::move(listing_.entries)});
+    hand_over(events_, BackendListing{std::move(listing_.entries)}, "listing of backends");
     listing_.entries.clear();
     return end_listing(settings_.listing, now);
   }
@@ -241,7 +241,7 @@
   timers_.set(*probe, std::max(now, probe->next));
   const auto& response = caller.reader().response();
   if (response.getStatus() == 200 && response.get(header_name::server_id, "") == probe->target.id)
-    events_.push(ProbeReply{probe->target.id});
+    hand_over(events_, ProbeReply{probe->target.id}, "reply to a probe");
 }
 
 void BackendMonitor::on_failure(HttpClientConnection& caller, ErrorCode, TimePoint now) {
--- a/src/registry/command_dispatcher.cpp
+++ b/src/registry/command_dispatcher.cpp
@@ -170,24 +170,24 @@
     NodeReply told{
         command.order.token,
         is_reachable ? read_node_answer(status, command.caller->reader().body()) : NodeAnswer{}};
-    events_.push(std::move(told));
+    hand_over(events_, std::move(told), "answer of a ring node");
     return;
   }
   if (command.caller) {
     LOG(INFO) << "envoy: the platform was told that " << command.order.id << " is to lead "
               << command.order.service << ": " << (status ? std::to_string(status) : "no answer");
-    events_.push(PromotionResult{command.order.token, status});
+    hand_over(events_, PromotionResult{command.order.token, status}, "result of a promotion");
     return;
   }
   if (command.order.text.empty()) {
-    events_.push(PromotionResult{command.order.token, 0});
+    hand_over(events_, PromotionResult{command.order.token, 0}, "result of a promotion");
     return;
   }
   DatabaseReply examined{command.order.token, std::nullopt};
   DatabaseStatus read;
   if (status == 200 && read_database_status(command.row, read))
     examined.status = read;
-  events_.push(std::move(examined));
+  hand_over(events_, std::move(examined), "status of a database");
   command.link->close();
 }
 
--- a/src/registry/configuration_service.cpp
+++ b/src/registry/configuration_service.cpp
@@ -8,6 +8,7 @@
 #include "protocol/forwarding_messages.h"
 #include "protocol/frame.h"
 #include "state/compression.h"
+#include "state/invariants.h"
 #include "state/metrics.h"
 
 namespace saddlewing {
@@ -31,8 +32,10 @@
 void ConfigurationService::handle_operator_call(OperatorCall call, TimePoint now) {
   if (!call.is_read)
     trace_.record(call.version, "taken", now);
-  calls_.add(call.is_read, call.version, std::move(call.body), call.token,
-             now + operator_call_timeout);
+  const std::uint64_t token = calls_.add(call.is_read, call.version, std::move(call.body),
+                                         call.token, now + operator_call_timeout);
+  if (context_.committed())
+    calls_.find(token)->committed_before = context_.committed()->version;
 }
 
 void ConfigurationService::handle_forwarded_call(const FrameHead& from, ForwardedCall call,
@@ -54,11 +57,24 @@
   if (!call)
     return;
   if (result.outcome == RaftNode::Outcome::done)
-    finish_call(result.token, true, result.state ? result.state->body : "");
+    finish_call(result.token, is_kept(*call, result), result.state ? result.state->body : "");
   else if (call->sent_to == own_address_)
     call->sent_to.clear();
 }
 
+// Whether what consensus calls done keeps what was promised before.
+bool ConfigurationService::is_kept(const PendingCalls::Call& call,
+                                   const RaftNode::Result& result) const {
+  if (!call.is_read)
+    return holds(Invariant::acknowledged_is_committed, is_committed(call),
+                 [&] { return "version " + std::to_string(call.version.value); });
+  const Version read = result.state ? result.state->version : Version{};
+  return holds(Invariant::read_is_newest_known, read >= call.committed_before, [&] {
+    return "version " + std::to_string(read.value) + " after " +
+           std::to_string(call.committed_before.value);
+  });
+}
+
 void ConfigurationService::route_calls(TimePoint now) {
   std::vector<std::uint64_t> committed;
   std::vector<std::uint64_t> failed;
--- a/src/registry/configuration_service.h
+++ b/src/registry/configuration_service.h
@@ -91,6 +91,7 @@
 
  private:
   bool is_committed(const PendingCalls::Call& call) const;
+  bool is_kept(const PendingCalls::Call& call, const RaftNode::Result& result) const;
   bool route(std::uint64_t token, PendingCalls::Call& call, TimePoint now);
   void start(std::uint64_t token, PendingCalls::Call& call, TimePoint now);
   void finish_call(std::uint64_t token, bool is_done, std::string body);
--- a/src/registry/control_loop.h
+++ b/src/registry/control_loop.h
@@ -56,7 +56,7 @@
   // Transfers leadership, leaves the cluster and ends the thread. Returns at once; any thread.
   void leave() {
     should_leave_ = true;
-    events_.push(ProbeReply{});  // wakes the thread
+    waker_.wake();
   }
   // The thread has ended; any thread.
   bool has_left() const {
--- a/src/registry/operator_api.cpp
+++ b/src/registry/operator_api.cpp
@@ -8,6 +8,7 @@
 #include "coordination/discovery/backend_heartbeat.h"
 #include "protocol/http_calls.h"
 #include "state/configuration.h"
+#include "state/invariants.h"
 #include "state/metrics.h"
 
 namespace saddlewing {
@@ -95,8 +96,9 @@
   const auto& request = exchange.request();
   const std::string& target = request.getURI();
   if (target == row_of(HttpCall::metrics).path)
-    return exchange.answer(
-        {200, "OK", "Content-Type: text/plain; version=0.0.4\r\n", metrics().page()}, now);
+    return exchange.answer({200, "OK", "Content-Type: text/plain; version=0.0.4\r\n",
+                            metrics().page() + violations_page()},
+                           now);
   if (target.starts_with(row_of(HttpCall::heartbeat).path))
     return handle_backend_call(exchange, now);
   metrics().add(Metric::operator_calls);
--- a/src/registry/operator_api.h
+++ b/src/registry/operator_api.h
@@ -17,7 +17,7 @@
   void start();
   void stop();
   void post_reply(OperatorReply result) {
-    replies_.push(std::move(result));
+    hand_over(replies_, std::move(result), "reply to an operator");
   }
 
   void on_request(ServerExchange& exchange, TimePoint now) override;
--- a/src/transport/bounded_queue.h
+++ b/src/transport/bounded_queue.h
@@ -6,8 +6,12 @@
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <string>
+#include <utility>
 #include <vector>
 
+#include "state/invariants.h"
+
 namespace saddlewing {
 
 // Wakes a thread that waits on descriptors.
@@ -43,7 +47,9 @@
   BoundedQueue(std::size_t capacity, std::function<void()> wake)
       : capacity_(capacity), wake_(std::move(wake)) {
   }
-  bool push(T item) {
+  // False: the queue is full, and the item is lost. Where nothing can be done about that, see
+  // hand_over().
+  [[nodiscard]] bool push(T item) {
     bool was_empty;
     {
       const std::lock_guard lock(mutex_);
@@ -83,4 +89,12 @@
   std::function<void()> wake_;
 };
 
+// Pushes what the writer cannot give again. A full queue is a violation of an invariant: the reader
+// stood still for too long. `what`: names the item in the report.
+template <class T, class Item>
+void hand_over(BoundedQueue<T>& queue, Item item, const char* what) {
+  holds(Invariant::hand_over_is_accepted, queue.push(std::move(item)),
+        [what] { return std::string(what); });
+}
+
 }  // namespace saddlewing
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -144,6 +144,7 @@
 }
 
 void ServerExchange::refuse(ErrorCode kind, TimePoint now) {
+  server_.handler_.on_refused(*this, kind, now);
   Reply reply = reply_of(kind);
   reply.should_close = true;  // its framing is in doubt
   is_head_ = false;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -98,6 +98,9 @@
     virtual void on_request(ServerExchange& exchange, TimePoint now) = 0;
     virtual void on_gone(
         ServerExchange& exchange) = 0;  // the client left while its request was handled
+    // A request was refused before it was whole.
+    virtual void on_refused(ServerExchange&, ErrorCode, TimePoint) {
+    }
   };
   HttpServer(Poller& poller, TimerQueue& timers, Handler& handler, std::size_t most_visits,
              std::size_t max_held)
--- a/tests/broker/exchange_fixture.h
+++ b/tests/broker/exchange_fixture.h
@@ -109,7 +109,8 @@
 class ExchangeFixture {
  public:
   static constexpr std::size_t tries = 2;  // of a route
-  explicit ExchangeFixture(int backends, int free_give_up_ms = 15000) {
+  explicit ExchangeFixture(int backends, int free_give_up_ms = 15000,
+                           Duration grace = Duration(750)) {
     for (int number = 0; number < backends; ++number)
       open_backend("b" + std::to_string(number));
     const std::string route = R"("host":"h","service":"s","tries":)" + std::to_string(tries) +
@@ -152,7 +153,7 @@
     settings.zones = {{"z", "r"}, {"far", "q"}};
     settings.file_handles = 3000;
     settings.retry_share = 50;  // the allowance is another test's matter
-    settings.grace = Duration(750);
+    settings.grace = grace;
     for (int port = 41000 + ::getpid() % 4000; !broker_ && port < 60000; port += 2) {
       settings.front = {"127.0.0.1", port};
       settings.ready_check = {"127.0.0.1", port + 1};
@@ -206,6 +207,14 @@
     play(one);
     return one[0];
   }
+  // The answer at the address for operators and the platform.
+  Exchange ask_ready(const std::string& path) {
+    std::vector<Exchange> one(1);
+    one[0].requests = {"GET " + path + " HTTP/1.1\r\nHost: ready\r\n\r\n"};
+    begin(one[0], port_ + 1);
+    play(one);
+    return one[0];
+  }
   // The broker's traffic stands still from here to `resume`, as a frozen process does: asked for
   // aid, it waits to send.
   void freeze() {
@@ -259,6 +268,23 @@
     wait_until([&] { return has_met(try_id); }, &one);
     end(one[0], Trouble::close);
   }
+  // The broker is asked to end while a backend is at work on the request, which the backend answers
+  // so long after. The status that the client gets; 0: no answer comes half a second later.
+  int status_when_leaving(const std::string& request, const std::string& try_id,
+                          Duration answered_after) {
+    std::vector<Exchange> one(1);
+    one[0].requests = {request};
+    begin(one[0]);
+    wait_until([&] { return has_met(try_id); }, &one);
+    const TimePoint answer_at = Clock::now() + answered_after;
+    broker_->leave();
+    wait_until([&] { return one[0].is_over || Clock::now() >= answer_at; }, &one);
+    for (const auto& [socket, line] : lines_)
+      if (line.is_mute && line.try_id == try_id)
+        send_all(socket, good_answer(try_id, line.backend));
+    wait_until([&] { return one[0].is_over || Clock::now() >= answer_at + 500ms; }, &one);
+    return one[0].status();
+  }
   // Whether no backend is at work on the request any more before the span is over.
   bool is_let_go_of(const std::string& try_id, Duration span) {
     std::vector<Exchange> none;
@@ -339,6 +365,9 @@
     doors_.push_back(door);
   }
   void begin(Exchange& exchange) const {
+    begin(exchange, port_);
+  }
+  static void begin(Exchange& exchange, int port) {
     for (const std::string& request : exchange.requests)
       exchange.out += request;
     exchange.out.resize(std::min(exchange.out.size(), exchange.leaves_after));
@@ -346,7 +375,7 @@
     sockaddr_in at{};
     at.sin_family = AF_INET;
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    at.sin_port = htons(static_cast<std::uint16_t>(port_));
+    at.sin_port = htons(static_cast<std::uint16_t>(port));
     cr_assert(::connect(exchange.socket, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0);
   }
   static void drop(int socket, Trouble how) {
--- a/tools/model.cpp
+++ b/tools/model.cpp
@@ -10,6 +10,7 @@
 
 #include "model_explore.h"
 #include "model_walk.h"
+#include "state/invariants.h"
 
 using namespace saddlewing::model;
 
@@ -289,6 +290,12 @@
   tell(outcome.tally, begin);
   if (outcome.seed)
     return report(wanted, outcome);
+  // What the nodes check of themselves; where a fault is planted they are meant to find it.
+  if (const auto violations = saddlewing::count_violations(); violations > 0) {
+    std::printf("broken: %llu violations of invariants\n%s",
+                static_cast<unsigned long long>(violations), saddlewing::violations_page().c_str());
+    return 1;
+  }
   std::printf("nothing broken\n");
   return 0;
 }
