A leaving broker or pooler serves on into the last sixth of any grace

Cause: both ended 700 ms before the grace was over. NEWS: an answer may be lost only where the backend is still at work in the last sixth of the grace, which begins later than that where the grace is shorter than 4.2 s. Class: a constant where the bound is a share of a setting. Change: end_margin, an eighth of the grace and 700 ms at most, in one place for both. At 6 s nothing changes.

--- a/src/broker/broker_loop.cpp
+++ b/src/broker/broker_loop.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "broker/request_head.h"
+#include "process/end_margin.h"
 #include "protocol/discovery_messages.h"
 #include "protocol/http_calls.h"
 #include "transport/header_names.h"
@@ -17,7 +18,6 @@
 constexpr Duration warm_span{8000};     // how long a connection is kept before its first asking
 constexpr Duration in_use_span{20000};  // after its last asking a backend is in use
 constexpr Duration warm_pause{3000};    // between connections opened in advance to one backend
-constexpr Duration before_end{700};     // of the grace, kept for the end itself
 
 }  // namespace
 
@@ -84,7 +84,7 @@
     if (!should_leave_)
       continue;
     check_leaving(now);
-    if (is_leaving_ && (now - left_ > settings_.grace - before_end ||
+    if (is_leaving_ && (now - left_ > settings_.grace - end_margin(settings_.grace) ||
                         (now - left_ > still_chosen && server_.count() == 0)))
       return record_cut_requests(now);
   }
--- a/src/pooler/pooler_loop.cpp
+++ b/src/pooler/pooler_loop.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "process/end_margin.h"
 #include "protocol/database_protocol.h"
 #include "protocol/http_calls.h"
 #include "state/metrics.h"
@@ -16,7 +17,6 @@
 constexpr Duration busy_tick{100}, calm_tick{250};
 constexpr Duration still_chosen{
     2500};  // after SIGTERM the platform may go on sending for two missed checks
-constexpr Duration before_end{700};  // of the grace, kept for the end itself
 constexpr Duration max_greeting{700}, max_preparing{900};
 constexpr Duration first_lag_pause{50}, max_lag_pause{800};
 constexpr Duration min_report{200};
@@ -153,7 +153,7 @@
     if (!should_leave_)
       continue;
     check_leaving(now);
-    if (is_leaving_ && (now - left_ > settings_.grace - before_end ||
+    if (is_leaving_ && (now - left_ > settings_.grace - end_margin(settings_.grace) ||
                         (now - left_ > still_chosen && clients_.empty())))
       return;
   }
