--- a/tests/registry/configuration_service_test.cpp
+++ b/tests/registry/configuration_service_test.cpp
@@ -157,6 +157,35 @@
   cr_expect(!decode_body<ForwardedReply>(fixture.peers.sent[0].bytes).is_done);
 }
 
+// It has just restarted, say, and whoever asks it still takes it for the leader: without a pause
+// the two would send the call to and fro as fast as the network carries it.
+Test(configuration_service, a_registry_that_does_not_lead_is_not_asked_again_at_once) {
+  Fixture fixture;
+  fixture.context.follow(Term{2}, leader_address);
+  fixture.put(41, 3, start);
+  fixture.service.route_calls(start);
+  const auto refuse = [&] {
+    const auto call = decode_body<ForwardedCall>(fixture.peers.sent.back().bytes);
+    ForwardedReply reply;
+    reply.token = call.token;
+    reply.requester = IncarnationId{11};
+    reply.version = call.version;
+    reply.digest = digest_of(call.body);
+    fixture.service.handle_forwarded_reply(leader_head, reply);
+  };
+  refuse();
+  fixture.service.route_calls(start + 1ms);
+  fixture.service.route_calls(start + 49ms);
+  cr_expect(fixture.peers.sent.size() == 1, "sent %zu times", fixture.peers.sent.size());
+  fixture.service.route_calls(start + 50ms);
+  cr_assert(fixture.peers.sent.size() == 2);
+  refuse();
+  fixture.context.follow(Term{3}, "10.0.0.3:7000");
+  fixture.service.route_calls(start + 51ms);
+  cr_assert(fixture.peers.sent.size() == 3, "another leader is asked at once");
+  cr_expect(fixture.peers.sent[2].address == "10.0.0.3:7000");
+}
+
 Test(configuration_service, only_the_answer_to_its_own_call_is_believed) {
   Fixture fixture;
   fixture.context.follow(Term{2}, leader_address);
