A registry that sent a call back is not asked again at once

Cause: a call that came back from a registry that does not lead was sent there again at once, as long as that one was taken for the leader: to and fro as fast as the network carries it, for up to the call's time. Class: a retry without a pause. Change: the same registry gets the call again after 50 ms at the earliest; another leader is asked at once.

Looked at for the same cause: subscriptions and fetches of brokers (paced by follow and by ConfigurationFetcher), joins and leaves of members (paced), retries at backends (bounded by tries and budget), connects (zmq reconnect interval 50 to 100 ms), keep_warm (warm_pause).

--- a/src/coordination/raft/pending_calls.cpp
+++ b/src/coordination/raft/pending_calls.cpp
@@ -117,8 +117,10 @@
     return 0;
   if (call.is_read && answer.is_done && answer.term < call.asked_term)
     return 0;
-  if (!answer.is_done)
+  if (!answer.is_done) {
+    call.refused_by = from;
     call.sent_to.clear();
+  }
   return answer.token;
 }
 
--- a/src/coordination/raft/pending_calls.h
+++ b/src/coordination/raft/pending_calls.h
@@ -60,8 +60,10 @@
     // The newest version that was committed here when the call came.
     Version committed_before;
 
-    std::string sent_to;  // who has it now; empty: nobody yet
-    Term asked_term;      // known here when it was sent
+    std::string sent_to;     // who has it now; empty: nobody yet
+    std::string refused_by;  // who sent it back last, as it does not lead
+    TimePoint sent_at{};     // when it was sent last
+    Term asked_term;         // known here when it was sent
     TimePoint deadline;
   };
 
--- a/src/registry/configuration_service.cpp
+++ b/src/registry/configuration_service.cpp
@@ -16,6 +16,10 @@
 
 constexpr std::size_t max_trace_steps = 128;
 
+// A registry that sent a call back, as it does not lead, gets it again no sooner, unless another
+// one was asked meanwhile.
+constexpr Duration resend_pause{50};
+
 }  // namespace
 
 ConfigurationService::ConfigurationService(const NodeSettings& settings, ControlContext& context,
@@ -109,7 +113,9 @@
   }
   if (!call.origin.empty())
     return false;
-  if (!leader.empty()) {
+  const bool is_refusing = leader == call.refused_by && now < call.sent_at + resend_pause;
+  if (!leader.empty() && !is_refusing) {
+    call.sent_at = now;
     const ForwardedCall forwarded = calls_.send(token, leader, context_.term());
     peers_.send_to(leader, encode(context_.frame_head(), forwarded));
   }
--- a/tools/model_nodes.cpp
+++ b/tools/model_nodes.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration call_wait{2000};
+constexpr Duration resend_pause{50};  // as in ConfigurationService
 constexpr Duration rollout_wait{400}, grant_valid{2000}, grant_window{3000}, table_lease{3000};
 constexpr Duration settle_margin{100};
 constexpr int reserve = 100;
@@ -316,10 +317,12 @@
     const auto found = node.calls.find(answer->token);
     if (found == node.calls.end() || found->second.origin)
       return;
-    if (answer->is_done)
+    if (answer->is_done) {
       finish_call(node, answer->token, true, answer->version, answer->body);
-    else
+    } else {
+      found->second.refused_by = found->second.sent_to;
       found->second.sent_to.clear();
+    }
   }
 }
 
@@ -375,6 +378,9 @@
       else
         node.raft->propose(call.version, call.body, token, now);
     } else if (!leader.empty() && !call.origin) {
+      if (leader == call.refused_by && now < call.sent_at + resend_pause)
+        continue;  // the node's next turn sends it again
+      call.sent_at = now;
       call.sent_to = leader;
       if (const auto number = numbers_.find(leader); number != numbers_.end())
         send(node.number, number->second,
--- a/tools/model_world.h
+++ b/tools/model_world.h
@@ -95,6 +95,8 @@
     std::uint64_t origin_incarnation = 0, origin_token = 0;
     std::string sent_to;
     TimePoint deadline;
+    std::string refused_by = {};  // as in PendingCalls::Call
+    TimePoint sent_at = {};
   };
   struct Row {
     std::uint64_t incarnation = 0;
