--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -1,5 +1,7 @@
 #include <criterion/criterion.h>
 
+#include <Poco/Net/StreamSocket.h>
+
 #include <thread>
 
 #include "transport/http_client_connection.h"
@@ -34,6 +36,11 @@
   }
   void on_idle_end(HttpClientConnection&) override {
   }
+  // Rounds of the loop until a request was read, or none is left to read.
+  void turn(int rounds) {
+    for (int round = 0; round < rounds; ++round)
+      poller.poll(Duration(20));
+  }
   void run() {
     for (int round = 0; round < 20000 && !is_over; ++round) {
       poller.poll(Duration(50));
@@ -86,6 +93,31 @@
   cr_expect(second.open(pair.address).code == ErrorCode::link);
 }
 
+// The process stood still for longer than a request may take; meanwhile the rest of it came.
+Test(server, a_request_that_came_while_the_process_stood_still_is_not_refused_as_slow) {
+  Pair pair;
+  Poco::Net::StreamSocket client(
+      Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(pair.address.port)));
+  client.sendBytes("GET /1 HTTP/1.1\r\nHost", 21);
+  pair.turn(5);
+  client.sendBytes(": a\r\n\r\n", 7);
+  pair.timers.run(Clock::now() + 3100ms);
+  const std::vector<std::string> one{"/1"};
+  cr_expect(pair.paths == one);
+}
+
+// Likewise a request on a connection that rested until then.
+Test(server, a_request_that_came_while_the_process_stood_still_finds_its_connection_open) {
+  Pair pair;
+  Poco::Net::StreamSocket client(
+      Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(pair.address.port)));
+  pair.turn(5);
+  client.sendBytes("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n", 28);
+  pair.timers.run(Clock::now() + 15100ms);
+  const std::vector<std::string> one{"/1"};
+  cr_expect(pair.paths == one);
+}
+
 // Bodies that together pass the bound are refused before they are read.
 Test(server, beyond_its_memory_a_request_is_refused_with_a_promise) {
   Pair pair;
