Before a time-out of a client's connection acts, its socket is read once more

Cause: after a stand-still of the process the timers run by the new time before the sockets were looked at: a request that had come in the meantime was refused as too slow, and a rested connection closed on it. Class: a decision by the clock before the input is taken. Change: a last look at the socket when the time is over; what is still not whole then is refused as before.

Looked at for the same cause: BackendConnection::on_due (an answer that came during a stand-still and is not read yet is given up at the deadline: nobody waits for it then), PendingCall time-outs of a registry's operators (answered 503, which promises nothing about a change), the probes of the monitor (a late reply counts as renewal), leases (by design counted from the sending).

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -203,6 +203,14 @@
 void ServerExchange::on_due(TimePoint now) {
   if (state_ == State::closing)
     return close();
+  if (state_ == State::reading) {
+    // The process may have stood still, and what it waited for has come: a last look.
+    const TimePoint moved_before = moved_;
+    read(now);
+    const bool has_answered = is_fresh_ && moved_ != moved_before;
+    if (state_ != State::reading || has_answered)
+      return;
+  }
   if (state_ == State::reading && !is_fresh_) {
     // A body may take its time as long as it moves.
     if (reader_.has_head() && now - moved_ < server_.limits_.quiet) {
