--- a/tools/checks/lint.sh
+++ b/tools/checks/lint.sh
@@ -18,6 +18,7 @@
 check includes tools/checks/check_includes.py
 check glossary tools/checks/check_glossary.py
 check pages tools/checks/check_pages.py
+check promises tools/checks/check_promises.py
 if ((${#failed[@]})); then
   echo "lint: failed: ${failed[*]}"
   exit 1
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -55,6 +55,13 @@
     return ", ".join(parts)
 
 
+def _reasons_line(history) -> str:
+    """Why requests failed, as the brokers told it."""
+    reasons = collections.Counter(
+        line.partition('reason="')[2].partition('"')[0] for line in history.explanations.values())
+    return ", ".join(f"{reason} {count}" for reason, count in reasons.most_common())
+
+
 def _print(result: Result, seconds: float) -> None:
     history = result.history
     statuses = collections.Counter(attempt.status for attempt in history.attempts)
@@ -64,7 +71,8 @@
           f"({statuses[200]} served, {statuses[503]} refused, {statuses[502]} and "
           f"{statuses[504]} failed, {statuses[0]} without an answer), {len(history.runs)} runs, "
           f"{sum(bool(put.acknowledged_at) for put in history.puts)} orders, "
-          f"{len(history.reads)} reads; {kinds}; {_times_line(history)}; {seconds:.0f} s",
+          f"{len(history.reads)} reads; {kinds}; {_times_line(history)}; "
+          f"explained: {_reasons_line(history)}; {seconds:.0f} s",
           flush=True)
     seen = collections.Counter()
     for violation in result.violations:
--- a/tools/soak/backends.py
+++ b/tools/soak/backends.py
@@ -311,7 +311,7 @@
 
     def _begin_run(self, backend: Backend, message, try_id: str) -> Run:
         run = Run(try_id, backend.spec.identity, backend.spec.service, message.target, now(),
-                  is_sound=backend.behaviour == "")
+                  is_sound=backend.behaviour == "", is_delegated=backend.spec.service in SHARDS)
         self._history.runs.append(run)
         return run
 
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -23,6 +23,7 @@
 MIN_GONE = 8
 MAX_CUT_KEPT = 3
 MIN_CALM_SERVED_SHARE = 0.9
+EXPLAIN_S = 1.0  # until the soak has fetched a broker's explanations
 CLOCK_SLACK_S = 0.25  # between what two processes of the soak saw of one moment
 
 _VIOLATIONS_METRIC = "saddlewing_invariant_violations_total"
@@ -297,11 +298,42 @@
                                           or (attempt.status == 0 and not attempt.left_at))]
 
 
+def _is_same_life(history: History, broker: str, since: float, until: float) -> bool:
+    """Whether one process of this broker ran all the time."""
+    return any(life.node == broker and life.began_at <= since
+               and (life.ended_at == 0 or life.ended_at > until) for life in history.lives)
+
+
+def check_explained(history: History) -> Iterator[Violation]:
+    """Sight: a broker explains each request that failed at it, in keeping with what others saw."""
+    runs = _runs_by_try(history)
+    for attempt in failed_attempts(history):
+        until = attempt.ended_at + EXPLAIN_S
+        if not _is_same_life(history, attempt.broker, attempt.sent_at, until):
+            continue
+        try_id = attempt.request.try_id
+        line = history.explanations.get(try_id)
+        if line is None:
+            yield Violation("sight", f"{attempt.broker} does not explain {try_id}, status "
+                                     f"{attempt.status}")
+        elif attempt.status and f" status={attempt.status} " not in line:
+            yield Violation("sight", f"status {attempt.status} was explained by: {line}")
+        elif runs[try_id] and " [backend=" not in line and attempt.status != 200:
+            yield Violation("sight", f"{try_id} ran at {runs[try_id][0].backend}, explained by: "
+                                     f"{line}")
+        else:
+            unnamed = [run.backend for run in runs[try_id]
+                       if not run.is_delegated and f"backend={run.backend} " not in line]
+            if unnamed:
+                yield Violation("sight", f"{try_id} ran at {unnamed}, explained by: {line}")
+
+
 def check_all(history: History, ledger: Ledger, once_ids: set[str]) -> list[Violation]:
     """All checks that need nothing but the history."""
     found = list(check_ledger(ledger, once_ids))
     for check in (check_answers, check_route, check_drain, check_gone, check_kept_connections,
                   check_configuration_register, check_operator_calls, check_in_force,
-                  check_never_back, check_tries, check_own_ends, check_invariants, check_problems):
+                  check_never_back, check_tries, check_own_ends, check_invariants, check_explained,
+                  check_problems):
         found += check(history)
     return found
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -41,6 +41,7 @@
     is_broken_off: bool = False  # its connection ended while the backend was at work
     is_sound: bool = True  # the backend played no trouble in the meantime
     is_forgotten: bool = False  # the backend crashed
+    is_delegated: bool = False  # it may have come by another broker, which gathered
 
 
 @dataclass
--- a/tools/soak/scenario.py
+++ b/tools/soak/scenario.py
@@ -93,6 +93,8 @@
         await self._operators.stop()
         await self._clients.stop()
         await self._last_look()
+        for node in self._cluster.brokers:
+            await self._fetch_explanations(node)
         observing.cancel()
         await self._end_all()
 
@@ -170,6 +172,8 @@
     async def _observe(self) -> None:
         """Notes the metrics of all nodes now and then."""
         while True:
+            await asyncio.gather(*(self._fetch_explanations(node)
+                                   for node in self._cluster.brokers if node.is_running()))
             for node in self._cluster.nodes:
                 if not node.is_running():
                     continue
@@ -181,6 +185,16 @@
                         Observation(node.spec.name, life, at, values))
             await asyncio.sleep(_OBSERVE_EVERY_S)
 
+    async def _fetch_explanations(self, node: SoakNode) -> None:
+        """What the broker tells of the requests that failed at it."""
+        request = make_request_bytes("GET", "/failures", {"Host": "failures"}, b"")
+        answer = await call(node.spec.host, READY_PORT, request, 0.5)
+        if answer is None or answer.status != 200:
+            return
+        for line in answer.body.decode(errors="replace").splitlines():
+            try_id = line.removeprefix("try_id=").partition(" ")[0]
+            self.history.explanations[try_id] = line
+
     async def _last_look(self) -> None:
         await self._look_at_configuration()
         for node in self._cluster.brokers:
