--- a/src/broker/backend_connection.cpp
+++ b/src/broker/backend_connection.cpp
@@ -64,8 +64,8 @@
   // Nothing may be lost on a connection that has ended meanwhile, as behind its last answer or
   // while this process stood still: what may run once could not be asked again, anything else would
   // spend one of its few tries there.
-  if (!holds(Invariant::one_attempt_per_connection, !context_,
-             [&] { return "backend " + backend_->id + " try " + context_->try_id; }))
+  if (!check_invariant(Invariant::one_attempt_per_connection, !context_,
+                       [&] { return "backend " + backend_->id + " try " + context_->try_id; }))
     return false;
   if (!caller_.is_quiet())
     return false;
--- a/src/broker/broker_loop.cpp
+++ b/src/broker/broker_loop.cpp
@@ -108,10 +108,11 @@
   const auto version_of = [](const View& some) {
     return some.configuration ? some.configuration->version : Version{};
   };
-  if (!holds(Invariant::version_in_force_never_falls, version_of(*view) >= version_of(*view_), [&] {
-        return "version " + std::to_string(version_of(*view).value) + " after " +
-               std::to_string(version_of(*view_).value);
-      }))
+  if (!check_invariant(Invariant::version_in_force_never_falls,
+                       version_of(*view) >= version_of(*view_), [&] {
+                         return "version " + std::to_string(version_of(*view).value) + " after " +
+                                std::to_string(version_of(*view_).value);
+                       }))
     return;
   view_ = std::move(view);
   std::map<std::string, BackendPointer> kept;
@@ -293,10 +294,10 @@
 
 bool BrokerLoop::send_attempt(Requester& requester, std::size_t part, Backend& backend,
                               TimePoint now) {
-  if (!holds(Invariant::no_attempt_after_close, requester.is_open(),
-             [&] { return "backend " + backend.id; }) ||
-      !holds(Invariant::no_attempt_to_draining_backend, !backend.is_draining,
-             [&] { return "backend " + backend.id; }))
+  if (!check_invariant(Invariant::no_attempt_after_close, requester.is_open(),
+                       [&] { return "backend " + backend.id; }) ||
+      !check_invariant(Invariant::no_attempt_to_draining_backend, !backend.is_draining,
+                       [&] { return "backend " + backend.id; }))
     return false;
   const auto context = contexts_.find(&requester);
   const auto pointer = backends_.find(backend.id);
--- a/src/broker/broker_status.cpp
+++ b/src/broker/broker_status.cpp
@@ -32,7 +32,7 @@
   const bool agree =
       by_exchange_.size() <= contexts_.size() && delegation_tokens_.size() == delegations_.size() &&
       delegated_works_.size() <= contexts_.size() && delegations_.size() <= contexts_.size();
-  holds(Invariant::pending_tables_agree, agree, [&] {
+  check_invariant(Invariant::pending_tables_agree, agree, [&] {
     return std::to_string(contexts_.size()) + " requests, " + std::to_string(by_exchange_.size()) +
            " exchanges, " + std::to_string(delegations_.size()) + " delegations by " +
            std::to_string(delegation_tokens_.size()) + " tokens, " +
--- a/src/coordination/raft/raft_node.cpp
+++ b/src/coordination/raft/raft_node.cpp
@@ -198,23 +198,24 @@
   const bool is_same_term = next.current_term == before.current_term;
   const bool may_vote =
       !is_same_term || before.voted_for.value == 0 || next.voted_for == before.voted_for;
-  const bool is_term_kept = holds(Invariant::term_and_vote_never_go_back,
-                                  next.current_term >= before.current_term && may_vote, [&] {
-                                    return "term " + std::to_string(next.current_term.value) +
-                                           " vote " + std::to_string(next.voted_for.value) +
-                                           " after term " +
-                                           std::to_string(before.current_term.value) + " vote " +
-                                           std::to_string(before.voted_for.value);
-                                  });
-  const bool is_entry_kept = holds(Invariant::entry_never_goes_back,
-                                   std::pair(next.entry->term, next.entry->index) >=
-                                       std::pair(before.entry->term, before.entry->index),
-                                   [&] {
-                                     return "entry " + std::to_string(next.entry->index.value) +
-                                            " of term " + std::to_string(next.entry->term.value) +
-                                            " after " + std::to_string(before.entry->index.value) +
-                                            " of term " + std::to_string(before.entry->term.value);
-                                   });
+  const bool is_term_kept =
+      check_invariant(Invariant::term_and_vote_never_go_back,
+                      next.current_term >= before.current_term && may_vote, [&] {
+                        return "term " + std::to_string(next.current_term.value) + " vote " +
+                               std::to_string(next.voted_for.value) + " after term " +
+                               std::to_string(before.current_term.value) + " vote " +
+                               std::to_string(before.voted_for.value);
+                      });
+  const bool is_entry_kept =
+      check_invariant(Invariant::entry_never_goes_back,
+                      std::pair(next.entry->term, next.entry->index) >=
+                          std::pair(before.entry->term, before.entry->index),
+                      [&] {
+                        return "entry " + std::to_string(next.entry->index.value) + " of term " +
+                               std::to_string(next.entry->term.value) + " after " +
+                               std::to_string(before.entry->index.value) + " of term " +
+                               std::to_string(before.entry->term.value);
+                      });
   return is_term_kept && is_entry_kept;
 }
 
--- a/src/coordination/raft/raft_replication.cpp
+++ b/src/coordination/raft/raft_replication.cpp
@@ -51,7 +51,7 @@
   const bool is_kept = !committed_ || (std::pair(entry->term, entry->index) >=
                                            std::pair(committed_->term, committed_->index) &&
                                        entry->version >= committed_->version);
-  if (holds(Invariant::commit_never_goes_back, is_kept, [&] {
+  if (check_invariant(Invariant::commit_never_goes_back, is_kept, [&] {
         return "version " + std::to_string(entry->version.value) + " at " +
                std::to_string(entry->index.value) + " after version " +
                std::to_string(committed_->version.value) + " at " +
@@ -208,7 +208,7 @@
 void RaftNode::handle_append_entries(const RaftMessage& message, TimePoint now) {
   if (message.term < persistent_.current_term)
     return send(message.address, make_message(Type::append_entries_reply), true);
-  if (!holds(Invariant::one_leader_per_term, !is_other_leader_of_term(message), [&] {
+  if (!check_invariant(Invariant::one_leader_per_term, !is_other_leader_of_term(message), [&] {
         return "term " + std::to_string(message.term.value) + " from " + message.address +
                (role_ == Role::leader ? ", led here" : ", led by " + leader_.address);
       }))
--- a/src/coordination/routing/proxied_request.cpp
+++ b/src/coordination/routing/proxied_request.cpp
@@ -125,14 +125,15 @@
 
 bool ProxiedRequest::may_send(const Part& part) const {
   const int may_have_run = part.attempts_before_restart + part.attempts_sent;
-  const bool is_within_tries =
-      holds(Invariant::attempts_within_tries, may_have_run < std::max(1, route_.tries),
-            [&] { return "route " + route_.name + " attempts " + std::to_string(may_have_run); });
-  const bool is_single = holds(Invariant::unsafe_request_runs_once,
-                               route_.is_harmless || (!has_executed_ && !is_at_work()), [&] {
-                                 return "route " + route_.name + (has_executed_ ? " has run" : "") +
-                                        (is_at_work() ? " is at work" : "");
-                               });
+  const bool is_within_tries = check_invariant(
+      Invariant::attempts_within_tries, may_have_run < std::max(1, route_.tries),
+      [&] { return "route " + route_.name + " attempts " + std::to_string(may_have_run); });
+  const bool is_single =
+      check_invariant(Invariant::unsafe_request_runs_once,
+                      route_.is_harmless || (!has_executed_ && !is_at_work()), [&] {
+                        return "route " + route_.name + (has_executed_ ? " has run" : "") +
+                               (is_at_work() ? " is at work" : "");
+                      });
   return is_within_tries && is_single;
 }
 
@@ -375,15 +376,17 @@
 
 void ProxiedRequest::finish(FinalResponse response, TimePoint now) {
   const bool is_first = state_ != State::responding && state_ != State::closed;
-  if (!holds(Invariant::one_response_per_request, is_first, [&] { return "route " + route_.name; }))
+  if (!check_invariant(Invariant::one_response_per_request, is_first,
+                       [&] { return "route " + route_.name; }))
     return;
   const bool is_own = response.kind != ErrorCode::none;
   const int status = is_own ? status_line_of(response.kind).status : response.status;
   // Of a request that may be repeated a backend's own word is passed on as it is.
   const bool is_promise = promises_not_run(status) && (is_own || !route_.is_harmless);
-  if (!holds(Invariant::refusal_means_nothing_ran,
-             !is_promise || (!has_executed_ && !is_at_work() && !done_),
-             [&] { return "route " + route_.name + " status " + std::to_string(status); })) {
+  if (!check_invariant(Invariant::refusal_means_nothing_ran,
+                       !is_promise || (!has_executed_ && !is_at_work() && !done_), [&] {
+                         return "route " + route_.name + " status " + std::to_string(status);
+                       })) {
     response = {};
     response.kind = ErrorCode::connection_lost;
   }
--- a/src/registry/configuration_service.cpp
+++ b/src/registry/configuration_service.cpp
@@ -70,10 +70,10 @@
 bool ConfigurationService::is_kept(const PendingCalls::Call& call,
                                    const RaftNode::Result& result) const {
   if (!call.is_read)
-    return holds(Invariant::acknowledged_is_committed, is_committed(call),
-                 [&] { return "version " + std::to_string(call.version.value); });
+    return check_invariant(Invariant::acknowledged_is_committed, is_committed(call),
+                           [&] { return "version " + std::to_string(call.version.value); });
   const Version read = result.state ? result.state->version : Version{};
-  return holds(Invariant::read_is_newest_known, read >= call.committed_before, [&] {
+  return check_invariant(Invariant::read_is_newest_known, read >= call.committed_before, [&] {
     return "version " + std::to_string(read.value) + " after " +
            std::to_string(call.committed_before.value);
   });
--- a/src/state/invariants.h
+++ b/src/state/invariants.h
@@ -74,7 +74,7 @@
  * @return whether it holds.
  */
 template <class Evidence>
-bool holds(Invariant invariant, bool is_true, Evidence&& evidence) {
+bool check_invariant(Invariant invariant, bool is_true, Evidence&& evidence) {
   if (is_true) [[likely]]
     return true;
   report_violation(invariant, evidence());
--- a/src/transport/bounded_queue.h
+++ b/src/transport/bounded_queue.h
@@ -93,8 +93,8 @@
 // stood still for too long. `what`: names the item in the report.
 template <class T, class Item>
 void hand_over(BoundedQueue<T>& queue, Item item, const char* what) {
-  holds(Invariant::hand_over_is_accepted, queue.push(std::move(item)),
-        [what] { return std::string(what); });
+  check_invariant(Invariant::hand_over_is_accepted, queue.push(std::move(item)),
+                  [what] { return std::string(what); });
 }
 
 }  // namespace saddlewing
--- a/tests/broker/exchange_fixture.h
+++ b/tests/broker/exchange_fixture.h
@@ -336,9 +336,10 @@
     Plan plan;
   };
 
-  void wait_until(const std::function<bool()>& holds, std::vector<Exchange>* exchanges = nullptr) {
+  void wait_until(const std::function<bool()>& condition,
+                  std::vector<Exchange>* exchanges = nullptr) {
     std::vector<Exchange> none;
-    for (const TimePoint until = Clock::now() + 10s; !holds();) {
+    for (const TimePoint until = Clock::now() + 10s; !condition();) {
       cr_assert(Clock::now() < until, "it did not come about");
       turn(exchanges ? *exchanges : none, 10);
     }
--- a/tests/state/invariants_test.cpp
+++ b/tests/state/invariants_test.cpp
@@ -139,8 +139,9 @@
 
 Test(invariants, a_violation_is_counted) {
   ViolationRecorder recorder;
-  cr_expect(!holds(Invariant::pending_tables_agree, false, [] { return std::string("evidence"); }));
-  cr_expect(holds(Invariant::pending_tables_agree, true, [] { return std::string(); }));
+  cr_expect(!check_invariant(Invariant::pending_tables_agree, false,
+                             [] { return std::string("evidence"); }));
+  cr_expect(check_invariant(Invariant::pending_tables_agree, true, [] { return std::string(); }));
   cr_expect(recorder.has_only(Invariant::pending_tables_agree) && count_violations() == 1 &&
             violations_of(Invariant::pending_tables_agree) == 1);
 }
