--- /dev/null
+++ b/src/coordination/databases/database_session_end.cpp
@@ -0,0 +1,84 @@
+// How a session's statements and transactions end: failures, time-outs, and the client's leaving.
+#include <utility>
+
+#include "coordination/databases/database_session.h"
+#include "state/metrics.h"
+
+namespace saddlewing {
+
+// The statement may have run and its outcome is not known.
+void Session::lose_response(TimePoint now) {
+  if (is_write_)
+    return finish_failed(StatementError::unknown, "the outcome was lost", now);
+  if (!has_change_ && may_try_again() && now < deadline_)
+    return proceed(now);
+  finish_failed(StatementError::rolled_back, "the outcome was lost",
+                now);  // reads keep nothing, and what was not saved is rolled back
+}
+
+void Session::drop_connection(TimePoint now) {
+  if (state_ == State::seeking)
+    ground_.pool().stop_seeking(*this);
+  if (DatabaseConnection* connection = std::exchange(connection_, nullptr))
+    connection->release(now);
+}
+
+void Session::finish_failed(StatementError verdict, const std::string& text, TimePoint now) {
+  if (verdict == StatementError::unknown)
+    metrics().add(Metric::unknown_responses);
+  ground_.stop_waiting(*this);
+  drop_connection(now);
+  const bool is_over = !has_change_ || verb_ == StatementVerb::commit;
+  if (is_over)
+    has_change_ = false;
+  state_ = is_over ? State::idle : State::failed;
+  settle(now);
+  say_error(verdict, text, is_over ? 'I' : 'E');
+}
+
+void Session::end_change(TimePoint now) {
+  drop_connection(now);
+  has_change_ = is_undone_ = false;
+  state_ = State::idle;
+  settle(now);
+}
+
+// Between statements only a resting transaction has a moment to end at.
+void Session::settle(TimePoint now) {
+  ground_.set_due(*this,
+                  has_change_ && state_ == State::resting ? now + change_rest_ : TimePoint::max());
+}
+
+void Session::on_due(TimePoint now) {
+  if (state_ == State::resting) {
+    drop_connection(now);
+    is_undone_ = true;
+    return;
+  }
+  if (!is_busy())
+    return;
+  if (state_ == State::attempting) {
+    if (DatabaseConnection* connection = std::exchange(connection_, nullptr))
+      connection->close(StatementError::timeout);
+    if (is_write_)
+      return finish_failed(StatementError::unknown, "no outcome in time", now);
+    return finish_failed(has_change_ ? StatementError::rolled_back : StatementError::timeout,
+                         "no outcome in time", now);
+  }
+  if (state_ == State::preparing)
+    if (DatabaseConnection* connection = std::exchange(connection_, nullptr))
+      connection->close();
+  finish_failed(has_change_ ? StatementError::rolled_back : StatementError::busy,
+                "not begun in time", now);
+}
+
+void Session::leave(TimePoint now) {
+  if (state_ == State::closing)
+    return;
+  ground_.stop_waiting(*this);
+  ground_.set_due(*this, TimePoint::max());
+  drop_connection(now);
+  state_ = State::closing;
+}
+
+}  // namespace saddlewing
--- a/tools/model_world.h
+++ b/tools/model_world.h
@@ -53,6 +53,9 @@
 using Content = std::variant<std::monostate, RaftMessage, CallPacket, AnswerPacket, FollowPacket,
                              HeartbeatPacket, FinishedSave>;
 
+// How long a call of an operator may take.
+inline constexpr Duration call_wait{2000};
+
 class World {
  public:
   World(const Walk& walk, std::ostream* trace);
