--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -116,7 +116,7 @@
     until = time.monotonic() + options.minutes * 60 if options.minutes else None
     waiting = list(seeds)
     running: dict[subprocess.Popen, int] = {}
-    failed = []
+    failed, played = [], 0
     while waiting or running:
         while waiting and len(running) < options.jobs:
             if until and time.monotonic() > until:
@@ -129,12 +129,12 @@
             if options.report:
                 command += ["--report", str(options.report)]
             running[subprocess.Popen(command, env=os.environ)] = seed
+            played += 1
         for process in [process for process in running if process.poll() is not None]:
             seed = running.pop(process)
             if process.returncode != 0:
                 failed.append(seed)
         time.sleep(0.05)
-    played = len(seeds) - len(waiting)
     print(f"{played - len(failed)} passed, {len(failed)} failed"
           + (f": seeds {sorted(failed)}" if failed else ""), flush=True)
     return 1 if failed else 0
