--- a/tests/soak/checker_test.py
+++ b/tests/soak/checker_test.py
@@ -26,8 +26,9 @@
 
 def make_put(version: int, sent_at: float, **fields) -> Put:
     """An order that was acknowledged at once."""
-    body = make_soak_configuration(version).body
-    return Put(version, body, sent_at, **{"acknowledged_at": sent_at + 0.01, **fields})
+    values = {"body": make_soak_configuration(version).body, "acknowledged_at": sent_at + 0.01,
+              **fields}
+    return Put(version, sent_at=sent_at, **values)
 
 
 def make_history() -> History:
@@ -157,6 +158,15 @@
         self.history.spans.append(Span("cut", ("broker-1",), START - 2, START - 1))
         self.assertEqual(self.rules(), set())
 
+    def test_old_version_held(self):
+        """A broker that serves by an older version than the one due, by its own word."""
+        self.history.puts.append(make_put(4, START - 10, body=b""))
+        self.history.reads.clear()
+        self.history.attempts.clear()
+        self.history.observations.append(
+            Observation("broker-1", 1, START, {"saddlewing_edition": 2}))
+        self.assertEqual(self.rules(), {"CONFIG"})
+
     def test_going_back(self):
         """A broker whose version falls within one life."""
         for at, version in enumerate((3, 2)):
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -234,6 +234,25 @@
                                   f"{due} over {TAKE_EFFECT_S} s after its acknowledgement")
 
 
+def check_held_in_time(history: History) -> Iterator[Violation]:
+    """CONFIG, in time: by their own word, too, brokers serve by a version that is due everywhere."""
+    for seen in history.observations:
+        version = seen.values.get(_VERSION_METRIC)
+        if version is None or not seen.node.startswith("broker"):
+            continue
+        if not history.is_calm(seen.at - IN_TOUCH_S - TAKE_EFFECT_S, seen.at):
+            continue
+        acknowledged_before = seen.at - TAKE_EFFECT_S - CLOCK_SLACK_S
+        due = max((put.version for put in history.puts
+                   if put.is_valid and 0 < put.acknowledged_at < acknowledged_before), default=0)
+        is_old_enough = any(
+            life.node == seen.node and life.began_at < seen.at - IN_TOUCH_S
+            and (life.ended_at == 0 or life.ended_at > seen.at) for life in history.lives)
+        if is_old_enough and version < due:
+            yield Violation("CONFIG", f"{seen.node} was at version {version:.0f} over "
+                                      f"{TAKE_EFFECT_S} s after version {due} was acknowledged")
+
+
 def check_never_back(history: History) -> Iterator[Violation]:
     """CONFIG, never back: within one life of a process its version only rises."""
     newest: dict[tuple[str, int], float] = {}
@@ -333,7 +352,7 @@
     found = list(check_ledger(ledger, once_ids))
     for check in (check_answers, check_route, check_drain, check_gone, check_kept_connections,
                   check_configuration_register, check_operator_calls, check_in_force,
-                  check_never_back, check_tries, check_own_ends, check_invariants, check_explained,
-                  check_problems):
+                  check_held_in_time, check_never_back, check_tries, check_own_ends,
+                  check_invariants, check_explained, check_problems):
         found += check(history)
     return found
