--- a/src/state/invariants.h
+++ b/src/state/invariants.h
@@ -56,7 +56,7 @@
 using ViolationHandler = std::function<void(const InvariantRow&, const std::string& evidence)>;
 
 /** Replaces what happens beyond counting: by default one log line for each invariant. */
-void set_violation_handler(ViolationHandler handler);
+void set_violation_handler(ViolationHandler replacement);
 
 /** Counts and reports a violation. */
 void report_violation(Invariant invariant, const std::string& evidence);
