--- a/tools/model_walk.cpp
+++ b/tools/model_walk.cpp
@@ -149,7 +149,7 @@
 
   void draw_fault(Micros at) {
     ++group_;
-    if (walk_.setup.is_beyond && chance(4))
+    if (walk_.setup.is_beyond && chance(20))
       return draw_forgetful_voters(at);
     int kind = static_cast<int>(between(0, 15));
     // Over so slow a network nobody can be replaced within catch_up, so nobody goes for good.
