--- a/tools/soak/backends.py
+++ b/tools/soak/backends.py
@@ -52,7 +52,6 @@
     server: asyncio.Server | None = None
     writers: set = field(default_factory=set)
     running: int = 0
-    trouble_until: float = 0.0
     last_troubled_at: float = 0.0
     heartbeats: int = 0
 
--- a/tools/soak/player.py
+++ b/tools/soak/player.py
@@ -10,7 +10,6 @@
 from soak.troubles import Schedule, Trouble
 
 _RESTART_S = 0.4
-_RULES_TAKE_S = 0.05  # until a node has read its rules
 
 
 class Player:
--- a/tools/soak/scenario.py
+++ b/tools/soak/scenario.py
@@ -36,8 +36,6 @@
     schedule: Schedule
     history: History
     violations: list[Violation] = field(default_factory=list)
-    unexplained: int = 0
-    failed: int = 0
 
 
 class Scenario:
@@ -77,8 +75,7 @@
             await self._cluster.close()
             await self._fleet.close()
         self._violations += checker.check_all(self.history, self._ledger, self._clients.once_ids)
-        result = Result(self._schedule, self.history, self._violations)
-        return result
+        return Result(self._schedule, self.history, self._violations)
 
     async def _play(self) -> None:
         began_at = now()
