Agree on the term of each database's leader, and believe no older one

Cause: nothing that the registries agree on said that term 2 was ever led. The table of leaderships names an id, a phase and a number; the log's term stood in the memory of one registry, and was compared with nothing. Once the database of term 2 was lost, its word was gone, and the word "leader" of any other database ranked above all replicas. After a change of the registries' leader even STEPDOWN was not sent, for want of a term.

Change: the newest term known is part of the agreed leadership (upper bits of a number whose lower bits hold phase and plan; a build that knows no terms passes over them and writes none, and the leader is asked then). Who says that it leads is believed only in a term no older than the agreed one and than those that other databases answer. Once a promotion was called for, an equal term does not suffice either: the target stays named in the phase closing, and the former leader comes back by a promotion of its own, which the platform answers without a change if it leads still. STEPDOWN goes out in every phase. An answer from before a promotion counts no more after it. Running code checks the invariant leader_has_newest_term.

--- a/src/coordination/databases/failover.cpp
+++ b/src/coordination/databases/failover.cpp
@@ -1,9 +1,11 @@
 #include "coordination/databases/failover.h"
-#include "protocol/database_protocol.h"
 
 #include <algorithm>
 #include <utility>
 
+#include "protocol/database_protocol.h"
+#include "state/invariants.h"
+
 namespace saddlewing {
 namespace {
 
@@ -49,19 +51,28 @@
   output_.log_lines.push_back(log_line);
 }
 
+// `status`: what the database answered; it leads in that term.
 void Failover::propose_leader(DatabaseLeadership leadership, const std::string& id,
-                              const std::string& log_line) {
+                              const DatabaseStatus& status, const std::string& log_line) {
+  const bool is_newest = check_invariant(
+      Invariant::leader_has_newest_term, status.is_leader && status.term >= newest_term(leadership),
+      [&] {
+        return leadership.service + ": " + id + " in term " + std::to_string(status.term) +
+               ", known is " + std::to_string(newest_term(leadership));
+      });
+  if (!is_newest)
+    return;
+  leadership.term = status.term;
   leadership.phase = DatabaseLeadership::Phase::led;
   leadership.id = id;
   leadership.target.clear();
-  propose_change(std::move(leadership), log_line);
+  propose_change(std::move(leadership), log_line + " in term " + std::to_string(status.term));
 }
 
 void Failover::propose_closing(DatabaseLeadership leadership, bool is_planned,
                                const std::string& log_line) {
   leadership.phase = DatabaseLeadership::Phase::closing;
   leadership.is_planned = is_planned;
-  leadership.target.clear();
   propose_change(std::move(leadership), log_line);
 }
 
@@ -132,6 +143,7 @@
   if (!leadership)
     return adopt_leader(service, endpoints);
   current_transition(*leadership, now);
+  step_down_others(*leadership, endpoints, now);
   switch (leadership->phase) {
     case DatabaseLeadership::Phase::led:
       return monitor_leader(*leadership, endpoints, now);
@@ -161,11 +173,48 @@
   propose_change(std::move(leadership), service + " is led by " + leader->id);
 }
 
-// Databases that say they lead beside the agreed leader missed a change.
+// The newest term that is known: agreed, or as the databases answered since the last change.
+std::uint64_t Failover::newest_term(const DatabaseLeadership& leadership) const {
+  std::uint64_t newest = leadership.term;
+  const auto transition = transitions_.find(leadership.service);
+  if (transition == transitions_.end())
+    return newest;
+  for (const auto& [id, status] : transition->second.statuses)
+    newest = std::max({newest, status.term, status.position.term});
+  return newest;
+}
+
+// The term is agreed with the leadership: it has to outlast the database that led in it, and every
+// registry that saw it.
+bool Failover::record_term(const DatabaseLeadership& leadership) {
+  const std::map<std::string, DatabaseStatus>& statuses =
+      transitions_.at(leadership.service).statuses;
+  const auto status = statuses.find(leadership.id);
+  if (status == statuses.end() || !status->second.is_leader ||
+      status->second.term <= leadership.term)
+    return false;
+  DatabaseLeadership next = leadership;
+  next.term = status->second.term;
+  propose_change(std::move(next),
+                 leadership.service + " is led in term " + std::to_string(status->second.term));
+  return true;
+}
+
+void Failover::query_leader(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
+                            TimePoint now) {
+  Transition& transition = transitions_[leadership.service];
+  if (!find_endpoint(endpoints, leadership.id) || now < transition.next_step_at ||
+      !transition.outstanding_queries.insert(leadership.id).second)
+    return;
+  transition.next_step_at = now + options_.status_retry_interval * leader_query_intervals;
+  send_command(leadership.service, leadership.id, "STATUS", false);
+}
+
+// Databases that say they lead beside the agreed leader missed a change. The command touches none
+// whose term is as high.
 void Failover::step_down_others(const DatabaseLeadership& leadership,
                                 const EndpointPointers& endpoints, TimePoint now) {
-  const auto term = log_terms_.find(leadership.service);
-  if (term == log_terms_.end())
+  if (leadership.term == 0)
     return;
   for (const DatabaseEndpoint* endpoint : endpoints) {
     if (endpoint->id == leadership.id || !endpoint->is_leader)
@@ -174,7 +223,7 @@
     if (last != TimePoint{} && now - last < step_down_interval)
       continue;
     last = now;
-    send_command(leadership.service, endpoint->id, "STEPDOWN " + std::to_string(term->second),
+    send_command(leadership.service, endpoint->id, "STEPDOWN " + std::to_string(leadership.term),
                  true);
   }
 }
@@ -205,7 +254,10 @@
 
 void Failover::monitor_leader(const DatabaseLeadership& leadership,
                               const EndpointPointers& endpoints, TimePoint now) {
-  step_down_others(leadership, endpoints, now);
+  if (record_term(leadership))
+    return;
+  if (leadership.term == 0)
+    query_leader(leadership, endpoints, now);
   if (!has_successor(leadership, endpoints, now))
     return;
   const std::string& service = leadership.service;
@@ -217,20 +269,15 @@
   // Earlier heartbeats may have gone to another registry.
   if (now - leading_since_ < options_.backend_heartbeat_interval * 2)
     return;
-  Transition& transition = transitions_[service];
   const Duration silence =
       leader ? elapsed(leader->last_heartbeat, now) : options_.backend_heartbeat_interval * 100;
   if (silence <= options_.backend_heartbeat_interval * 3 / 2) {
-    const auto phase_duration = now - transition.phase_started_at;
+    const auto phase_duration = now - transitions_.at(service).phase_started_at;
     if (!leader->is_leader && phase_duration > options_.backend_heartbeat_interval * 3)
       propose_closing(leadership, false, service + ": " + id + " says that it does not lead");
     return;
   }
-  if (leader != nullptr && now >= transition.next_step_at &&
-      transition.outstanding_queries.insert(id).second) {
-    transition.next_step_at = now + options_.status_retry_interval * leader_query_intervals;
-    send_command(service, id, "STATUS", false);
-  }
+  query_leader(leadership, endpoints, now);
   if (is_leader_lost(leadership, silence, now))
     propose_closing(leadership, false, service + " lost its leader " + id);
 }
@@ -260,6 +307,12 @@
   transition.is_promotion_outstanding = false;
   transition.promoted_at = now;  // the call may have been on its way until now
   transition.is_promotion_accepted = status == http_ok;
+  // An answer from before the promotion may tell of a lead that it ended.
+  transition.statuses.clear();
+  transition.outstanding_queries.clear();
+  std::erase_if(pending_, [&](const auto& item) {
+    return item.first != token && item.second.service == found->second.service;
+  });
   if (status == http_conflict)
     transition.is_promotion_refused = true;
   pending_.erase(found);
--- a/src/coordination/databases/failover.h
+++ b/src/coordination/databases/failover.h
@@ -60,7 +60,8 @@
 };
 
 // Invariants: no database is promoted while a pooler may act by a table that names another as led;
-// of each service at most one promotion is under way; at most one proposal is.
+// of each service at most one promotion is under way; at most one proposal is. A database whose
+// term is below the newest one known never becomes the agreed leader, whatever it says of itself.
 class Failover {
  public:
   // STATUS or STEPDOWN, for one database.
@@ -122,6 +123,8 @@
                                 TimePoint now);
 
  private:
+  friend struct InvariantProbe;  // tests plant faults
+
   // Progress within one phase of a service; lost with the leadership of the registries.
   struct Transition {
     std::uint64_t number = 0;                        // of the leadership that it belongs to
@@ -147,6 +150,7 @@
   // The replicas' logs, as far as they have answered.
   struct Comparison {
     const DatabaseEndpoint* best = nullptr;  // leading, else most advanced; null: none answered
+    bool is_best_leading = false;            // see is_present_leader
     DatabaseStatus best_status;
     std::size_t replica_count = 0;
     std::size_t answer_count = 0;
@@ -162,13 +166,16 @@
                     bool is_step_down);
   void propose_change(DatabaseLeadership leadership, const std::string& log_line);
   void propose_leader(DatabaseLeadership leadership, const std::string& id,
-                      const std::string& log_line);
+                      const DatabaseStatus& status, const std::string& log_line);
   void propose_closing(DatabaseLeadership leadership, bool is_planned, const std::string& log_line);
 
   // Phase led.
   void adopt_leader(const std::string& service, const EndpointPointers& endpoints);
   void monitor_leader(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
                       TimePoint now);
+  bool record_term(const DatabaseLeadership& leadership);
+  void query_leader(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
+                    TimePoint now);
   void step_down_others(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
                         TimePoint now);
   bool has_successor(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
@@ -176,6 +183,9 @@
   bool is_leader_lost(const DatabaseLeadership& leadership, Duration silence, TimePoint now) const;
 
   // Phases closing and raising; in failover_election.cpp.
+  std::uint64_t newest_term(const DatabaseLeadership& leadership) const;
+  bool is_present_leader(const DatabaseLeadership& leadership, const DatabaseStatus& status) const;
+  bool has_taken_the_lead(const DatabaseLeadership& leadership, const DatabaseStatus& status) const;
   void elect(const DatabaseLeadership& leadership, int sync, const EndpointPointers& endpoints,
              TimePoint now);
   void query_databases(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
@@ -187,7 +197,6 @@
   bool has_former_leader_returned(const DatabaseLeadership& leadership,
                                   const DatabaseStatus* former, const EndpointPointers& endpoints,
                                   TimePoint now) const;
-  void propose_former_leader(DatabaseLeadership leadership);
   void promote_target(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
                       TimePoint now);
   bool is_target_lost(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
@@ -205,7 +214,6 @@
   std::map<std::string, Transition> transitions_;    // by service
   std::map<std::uint64_t, PendingCommand> pending_;  // by token
   std::map<std::string, TimePoint> last_step_down_;  // by database id
-  std::map<std::string, std::uint64_t> log_terms_;   // by service, as last seen of its leader
   std::uint64_t last_token_ = 0;
   Output output_;
 };
--- a/src/coordination/databases/failover_election.cpp
+++ b/src/coordination/databases/failover_election.cpp
@@ -31,12 +31,27 @@
   return found == statuses.end() ? nullptr : &found->second;
 }
 
-// A leader ranks above all replicas; among these the more advanced log does.
-bool is_better(const DatabaseStatus& left, const DatabaseStatus& right) {
-  return std::tuple(left.is_leader, left.position) > std::tuple(right.is_leader, right.position);
+}  // namespace
+
+// Whether a database's word that it leads holds without a promotion. A former leader goes on saying
+// so until it hears of the newer term. Once a promotion was called for, only a newer term shows
+// that it did not take effect elsewhere.
+bool Failover::is_present_leader(const DatabaseLeadership& leadership,
+                                 const DatabaseStatus& status) const {
+  if (!status.is_leader || status.term < newest_term(leadership))
+    return false;
+  return leadership.target.empty() || status.term > leadership.term;
 }
 
-}  // namespace
+// Whether the promoted database leads. The platform leaves the present leader in its term, so that
+// its consent counts as well as a newer term.
+bool Failover::has_taken_the_lead(const DatabaseLeadership& leadership,
+                                  const DatabaseStatus& status) const {
+  if (!status.is_leader || status.term < newest_term(leadership))
+    return false;
+  return transitions_.at(leadership.service).is_promotion_accepted ||
+         (leadership.term > 0 && status.term > leadership.term);
+}
 
 void Failover::query_databases(const DatabaseLeadership& leadership,
                                const EndpointPointers& endpoints, TimePoint now) {
@@ -58,20 +73,29 @@
   const Transition& transition = transitions_.at(leadership.service);
   Comparison comparison;
   for (const DatabaseEndpoint* endpoint : endpoints) {
-    if (endpoint->id == leadership.id)
+    const bool is_former = endpoint->id == leadership.id;
+    // It leads again without a promotion, or, once one was called for, is elected like a replica.
+    if (is_former && leadership.target.empty())
       continue;
-    ++comparison.replica_count;
     const DatabaseStatus* status = find_status(transition.statuses, endpoint->id);
+    if (!is_former) {
+      ++comparison.replica_count;
+      comparison.answer_count += status != nullptr;
+    }
     if (!status)
       continue;
-    ++comparison.answer_count;
+    // While no term was ever agreed, a former leader can't be told from the present one.
+    const bool is_leading = leadership.term > 0 && is_present_leader(leadership, *status);
     // A replica that is emptying counts as an answer, but is not elected.
-    if (!endpoint->is_ready && !status->is_leader)
+    if (!endpoint->is_ready && !is_leading)
       continue;
-    if (comparison.best && !is_better(*status, comparison.best_status))
+    if (comparison.best &&
+        std::tuple(is_leading, status->position) <=
+            std::tuple(comparison.is_best_leading, comparison.best_status.position))
       continue;
     comparison.best = endpoint;
     comparison.best_status = *status;
+    comparison.is_best_leading = is_leading;
   }
   return comparison;
 }
@@ -109,19 +133,20 @@
   const DatabaseStatus* former = find_status(transition.statuses, leadership.id);
   const Comparison comparison = compare_replicas(leadership, endpoints);
   const DatabaseStatus& best = comparison.best_status;
-  // Another leads a later term already: an earlier promotion took effect.
-  if (comparison.best && best.is_leader && (!former || best.term > former->term)) {
-    log_terms_[service] = best.term;
+  // Another leads already: an earlier promotion took effect, or the former leader began anew.
+  if (comparison.is_best_leading) {
     const std::string& id = comparison.best->id;
-    return propose_leader(leadership, id, service + " is led by " + id + " already");
+    return propose_leader(leadership, id, best, service + " is led by " + id + " already");
   }
   if (!leadership.is_planned && has_former_leader_returned(leadership, former, endpoints, now))
-    return propose_former_leader(leadership);
+    return propose_leader(leadership, leadership.id, *former,
+                          service + " is led by " + leadership.id + " as before");
   if (!is_elected(comparison, former, sync, elapsed(transition.comparison_started_at, now)))
     return;
   DatabaseLeadership next = leadership;
   next.phase = DatabaseLeadership::Phase::raising;
   next.target = comparison.best->id;
+  next.term = newest_term(leadership);
   propose_change(std::move(next), service + ": " + comparison.best->id + " at " +
                                       best.position.text() + " is to lead");
 }
@@ -129,7 +154,7 @@
 bool Failover::has_former_leader_returned(const DatabaseLeadership& leadership,
                                           const DatabaseStatus* former,
                                           const EndpointPointers& endpoints, TimePoint now) const {
-  if (!former || !former->is_leader)
+  if (!former || !is_present_leader(leadership, *former))
     return false;
   return std::any_of(endpoints.begin(), endpoints.end(), [&](const DatabaseEndpoint* endpoint) {
     return endpoint->id == leadership.id && endpoint->is_ready &&
@@ -137,12 +162,6 @@
   });
 }
 
-void Failover::propose_former_leader(DatabaseLeadership leadership) {
-  leadership.phase = DatabaseLeadership::Phase::led;
-  const std::string log_line = leadership.service + " is led by " + leadership.id + " as before";
-  propose_change(std::move(leadership), log_line);
-}
-
 void Failover::call_promotion(const DatabaseLeadership& leadership, TimePoint now) {
   Transition& transition = transitions_[leadership.service];
   if (transition.is_promotion_outstanding)
@@ -178,12 +197,8 @@
   const std::string& target = leadership.target;
   Transition& transition = transitions_[service];
   const DatabaseStatus* status = find_status(transition.statuses, target);
-  if (status && status->is_leader) {
-    log_terms_[service] = status->term;
-    return propose_leader(
-        leadership, target,
-        service + " is led by " + target + " in term " + std::to_string(status->term));
-  }
+  if (status && has_taken_the_lead(leadership, *status))
+    return propose_leader(leadership, target, *status, service + " is led by " + target);
   if (transition.is_promotion_refused || is_target_lost(leadership, endpoints, now))
     return propose_closing(leadership, leadership.is_planned,
                            service + ": " + target + " can't take the lead");
--- a/src/state/invariants.h
+++ b/src/state/invariants.h
@@ -32,6 +32,7 @@
   one_leader_per_term,
   acknowledged_is_committed,
   read_is_newest_known,
+  leader_has_newest_term,
 
   // Of several.
   hand_over_is_accepted,
--- a/src/state/leadership_table.cpp
+++ b/src/state/leadership_table.cpp
@@ -11,9 +11,12 @@
 
 constexpr std::uint64_t min_leadership_bytes = 6 * number_bytes;  // texts may be empty
 
-// Phase and plan share one number.
+// Phase, plan and term share one number. A build that knows no term passes over its bits and writes
+// none, which reads as a term that is not known.
 constexpr std::uint64_t phase_mask = 15;
 constexpr std::uint64_t planned_flag = 16;
+constexpr int term_shift = 8;
+constexpr std::uint64_t max_term = ~std::uint64_t{0} >> term_shift;
 constexpr Phase last_phase = Phase::raising;
 
 bool is_before(const DatabaseLeadership& leadership, const std::string& service) {
@@ -25,7 +28,8 @@
   writer.text(leadership.service)
       .text(leadership.id)
       .text(leadership.target)
-      .number(phase | (leadership.is_planned ? planned_flag : 0))
+      .number(phase | (leadership.is_planned ? planned_flag : 0) |
+              std::min(leadership.term, max_term) << term_shift)
       .number(leadership.number)
       .number(leadership.revision);
 }
@@ -40,6 +44,7 @@
     return false;
   leadership.phase = static_cast<Phase>(phase & phase_mask);
   leadership.is_planned = (phase & planned_flag) != 0;
+  leadership.term = phase >> term_shift;
   leadership.number = reader.number();
   leadership.revision = reader.number();
   return true;
--- a/src/state/leadership_table.h
+++ b/src/state/leadership_table.h
@@ -22,7 +22,10 @@
   std::string service;
   /** Id of the backend that leads, or led last. */
   std::string id;
-  /** Id of the backend that is to lead; empty unless closing or raising. */
+  /**
+   * Id of the backend that is to lead. Of closing: the one that was to lead before, whose promotion
+   * may have taken effect; empty if there was none. Empty when led.
+   */
   std::string target;
   Phase phase = Phase::led;
   /** Of closing: the leader is well, so what is under way may end. */
@@ -31,6 +34,8 @@
   std::uint64_t number = 0;
   /** Revision of the table that brought the last of them. */
   std::uint64_t revision = 0;
+  /** Newest term known of any database of the service; 0: none is known yet. Only rises. */
+  std::uint64_t term = 0;
 };
 
 /** Invariant: `revision` rises with every agreed change; leaderships are ordered by service. */
--- a/tests/coordination/databases/failover_test.cpp
+++ b/tests/coordination/databases/failover_test.cpp
@@ -23,7 +23,8 @@
     bool is_ready = true;
     bool is_sending_heartbeats = true;
     std::uint64_t term = 1;
-    std::uint64_t number = 10;  // of the last entry in its log
+    std::uint64_t number = 10;   // of the last entry in its log
+    std::uint64_t log_term = 1;  // of that entry
     TimePoint last_heartbeat{};
   };
 
@@ -94,9 +95,12 @@
     std::optional<DatabaseStatus> status;
     if (database.is_up) {
       if (command.text.starts_with("STEPDOWN ") &&
-          std::stoull(command.text.substr(9)) > database.term)
+          std::stoull(command.text.substr(9)) > database.term) {
         database.is_leader = false;
-      status = DatabaseStatus{database.is_leader, database.term, {database.term, database.number}};
+        database.term = std::stoull(command.text.substr(9));
+      }
+      status =
+          DatabaseStatus{database.is_leader, database.term, {database.log_term, database.number}};
     }
     failover->finish_command(command.token, status, now);
   }
@@ -122,19 +126,35 @@
     Database& target = at(call.id);
     if (!target.is_up)
       return failover->finish_promotion(call.token, 409, now);
-    if (!target.is_leader) {
-      std::uint64_t term = 0;
-      for (const Database& database : databases)
-        term = std::max(term, database.term);
+    if (!target.is_leader || target.term < newest_term()) {
+      target.term = newest_term() + 1;
       target.is_leader = true;
-      target.term = term + 1;
     }
+    for (Database& database : databases)
+      if (database.is_up && !database.is_leader)
+        database.term = target.term;  // the new leader reaches it
     failover->finish_promotion(call.token, is_lost() ? 0 : 200, now);
   }
 
+  std::uint64_t newest_term() const {
+    std::uint64_t newest = 0;
+    for (const Database& database : databases)
+      newest = std::max(newest, database.term);
+    return newest;
+  }
+
+  // Whoever is agreed on is the leader of the newest term.
+  void check_leader() {
+    const DatabaseLeadership* leadership = agreed.find("db");
+    if (leadership && leadership->phase == DatabaseLeadership::Phase::led)
+      cr_assert(at(leadership->id).term == newest_term(), "%s is of an older term",
+                leadership->id.c_str());
+  }
+
   void run_proposal(const LeadershipTable& proposal) {
     if (!is_lost())
       agreed = proposal;
+    check_leader();
     if (is_lost())
       restart();
     else
@@ -248,6 +268,72 @@
     }
 }
 
+// After the loss of the present leader, a former one that missed its promotion was agreed on.
+Test(failover, a_former_leader_of_an_older_term_does_not_lead_again) {
+  for (const int sync : {0, 1})
+    for (int point = 0; point <= 20; ++point) {
+      World world(sync);
+      world.run_until_stable();
+      world.at("a").is_up = false;
+      world.at("c").number = 15;
+      world.set_failing_requests(true);
+      cr_assert(world.run_until([&] { return world.is_led_by("c"); }));
+      World::Database& former = world.at("a");
+      former.is_leader = true;  // it was dark in between
+      former.term = 1;
+      former.is_up = true;
+      former.number = 40;
+      for (const char* id : {"b", "c"}) {
+        world.at(id).log_term = 2;
+        world.at(id).number = 20;
+      }
+      world.acknowledged = 20;
+      world.at("c").is_up = world.at("c").is_leader = false;
+      world.restart();  // the registry that saw the promotion is gone as well
+      world.set_failing_requests(true);
+      world.point_count = 0;
+      world.fail_at = point;
+      cr_expect(world.run_until([&] { return world.is_led_by("b"); }), "sync %d, point %d", sync,
+                point);
+      cr_expect(world.run_until([&] { return !former.is_leader; }), "sync %d, point %d", sync,
+                point);
+    }
+}
+
+// A promotion took effect, was never agreed on, and the promoted database is lost.
+Test(failover, a_former_leader_returns_after_a_call_for_another_only_by_a_promotion) {
+  for (const bool had_effect : {false, true}) {
+    World world;
+    world.run_until_stable();
+    world.at("a").is_up = world.at("b").is_up = false;
+    world.at("c").number = 15;
+    world.set_failing_requests(true);
+    cr_assert(world.run_until([&] { return world.promotions == 1; }));
+    cr_assert(!world.is_led_by("c"));
+    World::Database& promoted = world.at("c");
+    promoted.is_up = promoted.is_leader = false;
+    promoted.term = had_effect ? 2 : 1;
+    world.restart();
+    world.at("a").is_up = true;
+    world.at("a").is_leader = true;
+    cr_expect(world.run_until([&] { return world.is_led_by("a"); }));
+    cr_expect(world.at("a").term == (had_effect ? 3 : 1));
+    cr_expect(world.promotions > 1);
+  }
+}
+
+// Documents of an earlier build tell no term.
+Test(failover, a_leader_whose_term_was_never_agreed_is_asked_for_it) {
+  World world;
+  world.at("a").term = 4;
+  world.at("a").log_term = 4;
+  world.run_until_stable();
+  cr_expect(world.agreed.find("db")->term == 4);
+  world.agreed.leaderships[0].term = 0;
+  world.run(20);
+  cr_expect(world.agreed.find("db")->term == 4);
+}
+
 Test(failover, a_planned_switchover_waits_for_a_caught_up_replica) {
   World world;
   world.run_until_stable();
--- a/tests/protocol/document_format_test.cpp
+++ b/tests/protocol/document_format_test.cpp
@@ -17,7 +17,7 @@
 
 auto fields_of(const DatabaseLeadership& lead) {
   return std::tie(lead.service, lead.id, lead.target, lead.phase, lead.is_planned, lead.number,
-                  lead.revision);
+                  lead.revision, lead.term);
 }
 
 void check_leads(const std::string& name, const LeadershipTable& table) {
@@ -125,7 +125,11 @@
                        {"prices", "b-2", "b-3", Phase::closing, true, 314, 315},
                        {"stock", "", "b-4", Phase::raising, false, 316, 317},
                        {"users", "b-5", "", Phase::closing, false, 318, 319}};
-  check_leads("database_leaders_full", table);
+  check_leads("database_leaders_full", table);  // as a build writes it that knows no terms
+  table.leaderships[0].term = 1;
+  table.leaderships[1].term = 0x00fedcba98765432;
+  table.leaderships[2].term = 300;
+  check_leads("database_leaders_terms", table);
   check_leads("database_leaders_empty", LeadershipTable{});
   LeadershipTable blank;
   blank.leaderships.resize(1);
--- a/tests/state/invariants_test.cpp
+++ b/tests/state/invariants_test.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "broker/broker_loop.h"
+#include "coordination/databases/failover.h"
 #include "coordination/raft/raft_cluster_fixture.h"
 #include "coordination/routing/request_fixture.h"
 #include "protocol/raft_messages.h"
@@ -34,6 +35,13 @@
     response.kind = kind;
     request.finish(std::move(response), tests::start);
   }
+  static void propose_leader(Failover& failover, const DatabaseLeadership& leadership,
+                             const DatabaseStatus& status) {
+    failover.propose_leader(leadership, "b", status, "");
+  }
+  static bool is_proposing(const Failover& failover) {
+    return failover.proposal_.has_value();
+  }
   static PersistentState& persistent(RaftNode& node) {
     return node.persistent_;
   }
@@ -341,3 +349,18 @@
   hand_over(queue, 2, "a number");
   cr_expect(recorder.has_only(Invariant::hand_over_is_accepted));
 }
+
+Test(invariants, a_database_of_an_older_term_is_not_agreed_to_lead) {
+  Failover failover{FailoverOptions{}};
+  DatabaseLeadership leadership;
+  leadership.service = "db";
+  leadership.id = "a";
+  leadership.term = 3;
+  ViolationRecorder violations;
+  InvariantProbe::propose_leader(failover, leadership, {true, 2, {2, 90}});
+  cr_expect(violations.has_only(Invariant::leader_has_newest_term));
+  cr_expect(!InvariantProbe::is_proposing(failover));
+  InvariantProbe::propose_leader(failover, leadership, {true, 3, {3, 10}});
+  cr_expect(violations.has_only(Invariant::leader_has_newest_term));
+  cr_expect(InvariantProbe::is_proposing(failover));
+}
