Know a database by its address: an incarnation that crashed is not waited for

Cause: a database that crashes says nothing and returns with its log under a new id, while the former id stays registered. The failover took each id for a database of its own. So the last word of the ended incarnation stood beside that of its successor, and two that say they lead meant that nobody was adopted; and with sync above 0 an election waited for an answer of the ended id, which never comes.

Change: a database is known by its address. A replica has answered once any incarnation at its address has; an address at which nobody answers is still waited for with sync above 0, as its log may alone hold a commit, but for the one of the former leader, whose acknowledged commits a replica holds as well. Nobody yet agreed: of each address the incarnation heard of last counts, and of several that say they lead the one that answers with the newest term is adopted, where nobody ever was.

Evidence: the four new tests of failover fail on the code before, the ten others pass on it.

--- a/src/coordination/databases/failover.cpp
+++ b/src/coordination/databases/failover.cpp
@@ -25,6 +25,22 @@
   return found == endpoints.end() ? nullptr : *found;
 }
 
+// Of each address the incarnation that was heard of last, if it says that it leads.
+std::vector<const DatabaseEndpoint*> find_claimants(
+    const std::vector<const DatabaseEndpoint*>& endpoints) {
+  std::map<std::string, const DatabaseEndpoint*> newest;
+  for (const DatabaseEndpoint* endpoint : endpoints) {
+    const DatabaseEndpoint*& known = newest[endpoint->address];
+    if (!known || endpoint->last_heartbeat > known->last_heartbeat)
+      known = endpoint;
+  }
+  std::vector<const DatabaseEndpoint*> claimants;
+  for (const auto& [address, endpoint] : newest)
+    if (endpoint->is_leader)
+      claimants.push_back(endpoint);
+  return claimants;
+}
+
 }  // namespace
 
 void Failover::record_pooler(const std::string& pooler, IncarnationId incarnation,
@@ -141,7 +157,7 @@
                                const EndpointPointers& endpoints, TimePoint now) {
   const DatabaseLeadership* leadership = table_.find(service);
   if (!leadership)
-    return adopt_leader(service, endpoints);
+    return adopt_leader(service, endpoints, now);
   current_transition(*leadership, now);
   step_down_others(*leadership, endpoints, now);
   switch (leadership->phase) {
@@ -154,17 +170,15 @@
   }
 }
 
-// Nothing was ever agreed for this service: the only database that says it leads is its leader. If
-// two say so, operators decide, or one of them steps down by itself.
-void Failover::adopt_leader(const std::string& service, const EndpointPointers& endpoints) {
-  const DatabaseEndpoint* leader = nullptr;
-  for (const DatabaseEndpoint* endpoint : endpoints) {
-    if (!endpoint->is_leader)
-      continue;
-    if (leader)
-      return;
-    leader = endpoint;
-  }
+// Nothing was ever agreed for this service: the database that says it leads is its leader. If
+// several say so, one of them missed a newer term: they are asked.
+void Failover::adopt_leader(const std::string& service, const EndpointPointers& endpoints,
+                            TimePoint now) {
+  const EndpointPointers claimants = find_claimants(endpoints);
+  if (claimants.empty())
+    return;
+  const DatabaseEndpoint* leader =
+      claimants.size() == 1 ? claimants.front() : choose_claimant(service, claimants, now);
   if (!leader)
     return;
   DatabaseLeadership leadership;
--- a/src/coordination/databases/failover.h
+++ b/src/coordination/databases/failover.h
@@ -49,9 +49,12 @@
   Duration max_promotion_delay{4000};
 };
 
-// A database as the registry of backends knows it.
+// One incarnation of a database as the registry of backends knows it. A database stays at its
+// address: a new incarnation there has a new id, takes the log of the former one and ends it. One
+// that crashed says nothing of its end, and may be known still.
 struct DatabaseEndpoint {
   std::string id;
+  std::string address;  // host:port
   std::string service;
   std::string zone;
   bool is_leader = false;      // as it says itself
@@ -147,13 +150,13 @@
     bool is_step_down = false;
   };
 
-  // The replicas' logs, as far as they have answered.
+  // The replicas' logs, as far as they have answered. A replica has answered if any of its
+  // incarnations has.
   struct Comparison {
     const DatabaseEndpoint* best = nullptr;  // leading, else most advanced; null: none answered
     bool is_best_leading = false;            // see is_present_leader
     DatabaseStatus best_status;
-    std::size_t replica_count = 0;
-    std::size_t answer_count = 0;
+    bool has_every_answer = false;
   };
 
   using EndpointPointers = std::vector<const DatabaseEndpoint*>;  // of one service
@@ -170,7 +173,9 @@
   void propose_closing(DatabaseLeadership leadership, bool is_planned, const std::string& log_line);
 
   // Phase led.
-  void adopt_leader(const std::string& service, const EndpointPointers& endpoints);
+  void adopt_leader(const std::string& service, const EndpointPointers& endpoints, TimePoint now);
+  const DatabaseEndpoint* choose_claimant(const std::string& service,
+                                          const EndpointPointers& claimants, TimePoint now);
   void monitor_leader(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
                       TimePoint now);
   bool record_term(const DatabaseLeadership& leadership);
@@ -188,7 +193,7 @@
   bool has_taken_the_lead(const DatabaseLeadership& leadership, const DatabaseStatus& status) const;
   void elect(const DatabaseLeadership& leadership, int sync, const EndpointPointers& endpoints,
              TimePoint now);
-  void query_databases(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
+  void query_databases(const std::string& service, const EndpointPointers& endpoints,
                        TimePoint now);
   Comparison compare_replicas(const DatabaseLeadership& leadership,
                               const EndpointPointers& endpoints) const;
--- a/src/coordination/databases/failover_election.cpp
+++ b/src/coordination/databases/failover_election.cpp
@@ -53,9 +53,9 @@
          (leadership.term > 0 && status.term > leadership.term);
 }
 
-void Failover::query_databases(const DatabaseLeadership& leadership,
-                               const EndpointPointers& endpoints, TimePoint now) {
-  Transition& transition = transitions_[leadership.service];
+void Failover::query_databases(const std::string& service, const EndpointPointers& endpoints,
+                               TimePoint now) {
+  Transition& transition = transitions_[service];
   if (now < transition.next_step_at)
     return;
   transition.next_step_at = now + options_.status_retry_interval;
@@ -64,24 +64,53 @@
                            options_.backend_heartbeat_interval * max_silent_intervals;
     if (is_silent || !transition.outstanding_queries.insert(endpoint->id).second)
       continue;
-    send_command(leadership.service, endpoint->id, "STATUS", false);
+    send_command(service, endpoint->id, "STATUS", false);
+  }
+}
+
+// The one that leads in the newest term, once all have answered or had the time to. Null: not known
+// yet.
+const DatabaseEndpoint* Failover::choose_claimant(const std::string& service,
+                                                  const EndpointPointers& claimants,
+                                                  TimePoint now) {
+  query_databases(service, claimants, now);
+  Transition& transition = transitions_[service];
+  if (transition.comparison_started_at == TimePoint{})
+    transition.comparison_started_at = now;
+  const DatabaseEndpoint* leader = nullptr;
+  std::uint64_t newest_term = 0;
+  std::size_t answer_count = 0;
+  for (const DatabaseEndpoint* claimant : claimants) {
+    const DatabaseStatus* status = find_status(transition.statuses, claimant->id);
+    if (!status)
+      continue;
+    ++answer_count;
+    if (!status->is_leader || status->term <= newest_term)
+      continue;
+    leader = claimant;
+    newest_term = status->term;
   }
+  const bool is_decided = answer_count == claimants.size() ||
+                          now - transition.comparison_started_at >=
+                              options_.status_retry_interval * answer_wait_intervals;
+  return is_decided ? leader : nullptr;
 }
 
 Failover::Comparison Failover::compare_replicas(const DatabaseLeadership& leadership,
                                                 const EndpointPointers& endpoints) const {
   const Transition& transition = transitions_.at(leadership.service);
   Comparison comparison;
+  std::map<std::string, bool> has_answered;  // by address of a replica
+  std::string former_address;
   for (const DatabaseEndpoint* endpoint : endpoints) {
     const bool is_former = endpoint->id == leadership.id;
+    if (is_former)
+      former_address = endpoint->address;
     // It leads again without a promotion, or, once one was called for, is elected like a replica.
     if (is_former && leadership.target.empty())
       continue;
     const DatabaseStatus* status = find_status(transition.statuses, endpoint->id);
-    if (!is_former) {
-      ++comparison.replica_count;
-      comparison.answer_count += status != nullptr;
-    }
+    has_answered[endpoint->address] |= status != nullptr;
     if (!status)
       continue;
     // While no term was ever agreed, a former leader can't be told from the present one.
@@ -97,6 +126,9 @@
     comparison.best_status = *status;
     comparison.is_best_leading = is_leading;
   }
+  has_answered.erase(former_address);
+  comparison.has_every_answer = std::all_of(has_answered.begin(), has_answered.end(),
+                                            [](const auto& item) { return item.second; });
   return comparison;
 }
 
@@ -110,7 +142,7 @@
       former != nullptr && comparison.best_status.position >= former->position;
   if (former != nullptr && !has_everything && waited < max_catch_up_wait)
     return false;
-  if (comparison.answer_count == comparison.replica_count)
+  if (comparison.has_every_answer)
     return true;
   // With synchronous replication a replica that does not answer may alone have a commit.
   return sync <= 0 && waited >= options_.status_retry_interval * answer_wait_intervals;
@@ -128,8 +160,8 @@
     return;  // an earlier call may still take effect
   if (transition.comparison_started_at == TimePoint{})
     transition.comparison_started_at = now;
-  query_databases(leadership, endpoints, now);
   const std::string& service = leadership.service;
+  query_databases(service, endpoints, now);
   const DatabaseStatus* former = find_status(transition.statuses, leadership.id);
   const Comparison comparison = compare_replicas(leadership, endpoints);
   const DatabaseStatus& best = comparison.best_status;
--- a/src/registry/failover_service.cpp
+++ b/src/registry/failover_service.cpp
@@ -116,7 +116,7 @@
     if (leased.endpoint.phase == EndpointPhase::gone)
       continue;
     const bool is_ready = leased.endpoint.phase == EndpointPhase::ready;
-    databases.push_back({id, leased.endpoint.service, leased.endpoint.zone,
+    databases.push_back({id, leased.endpoint.address, leased.endpoint.service, leased.endpoint.zone,
                          leased.endpoint.is_leader, is_ready, leased.last_heartbeat});
   }
   return databases;
--- a/tests/coordination/databases/failover_test.cpp
+++ b/tests/coordination/databases/failover_test.cpp
@@ -18,6 +18,7 @@
 struct World {
   struct Database {
     std::string id;
+    std::string address;
     bool is_up = true;
     bool is_leader = false;
     bool is_ready = true;
@@ -41,12 +42,22 @@
 
   explicit World(int sync = 0) : sync(sync) {
     for (const char* id : {"a", "b", "c"})
-      databases.push_back({id});
+      databases.push_back({id, id});
     databases[0].is_leader = true;
     poolers = {{"p1", "north"}, {"p2", "south"}, {"p3", "south"}};
     restart();
   }
 
+  // A database crashes; its registration stays. It comes back with its log and a new id.
+  void begin_anew(const std::string& id, const std::string& new_id) {
+    Database next = at(id);
+    at(id).is_up = false;
+    next.id = new_id;
+    next.is_up = true;
+    next.last_heartbeat = {};
+    databases.push_back(next);
+  }
+
   // Another registry becomes the leader.
   void restart() {
     failover = std::make_unique<Failover>(options);
@@ -62,8 +73,8 @@
   std::vector<DatabaseEndpoint> endpoints() const {
     std::vector<DatabaseEndpoint> endpoints;
     for (const Database& database : databases)
-      endpoints.push_back({database.id, "db", "here", database.is_leader, database.is_ready,
-                           database.last_heartbeat});
+      endpoints.push_back({database.id, database.address, "db", "here", database.is_leader,
+                           database.is_ready, database.last_heartbeat});
     return endpoints;
   }
 
@@ -358,6 +369,51 @@
   cr_expect(world.run_until([&] { return world.is_led_by("c"); }));
 }
 
+// With synchronous replication nobody was promoted after the crash of a replica that came back.
+Test(failover, an_incarnation_that_crashed_is_not_waited_for_once_its_successor_answers) {
+  World world(1);
+  world.run_until_stable();
+  world.begin_anew("b", "b2");
+  world.run(100);
+  world.at("a").is_up = false;
+  world.at("b2").number = world.acknowledged = 30;
+  world.set_failing_requests(true);
+  cr_expect(world.run_until([&] { return world.is_led_by("b2"); }));
+}
+
+// The database whose registered incarnation crashed may alone have a commit.
+Test(failover, a_crashed_replica_is_waited_for_until_its_next_incarnation_answers) {
+  World world(1);
+  world.run_until_stable();
+  world.at("b").is_up = world.at("a").is_up = false;
+  world.at("b").number = world.acknowledged = 30;
+  world.set_failing_requests(true);
+  world.run(200);
+  cr_expect(world.promotions == 0);
+  world.begin_anew("b", "b2");
+  cr_expect(world.run_until([&] { return world.is_led_by("b2"); }));
+}
+
+// A service whose primary crashed before it was first configured was never led by anybody.
+Test(failover, a_leader_that_crashed_and_came_back_before_it_was_known_is_adopted) {
+  World world;
+  world.send_heartbeats();
+  world.now += 10s;
+  world.begin_anew("a", "a2");
+  cr_expect(world.run_until([&] { return world.is_led_by("a2"); }));
+  cr_expect(world.promotions == 0);
+}
+
+// Two databases say that they lead before anything was agreed: nobody was ever chosen.
+Test(failover, of_two_that_say_they_lead_the_one_in_the_newest_term_is_adopted) {
+  World world;
+  world.at("b").is_leader = true;
+  world.at("b").term = 2;
+  world.run(1);
+  cr_expect(world.run_until([&] { return world.is_led_by("b"); }));
+  cr_expect(world.run_until([&] { return !world.at("a").is_leader; }));
+}
+
 Test(failover, a_silent_pooler_is_waited_for_until_its_lease_expires) {
   World world;
   world.run_until_stable();
