Registries: an incarnation ends when another one renews at its address

Cause: only DELETE ends a backend that registers itself, and a crash sends none; an expired lease makes it DOWN and no more.

An address serves one incarnation at a time, and the end travels as a phase, which only rises: late heartbeats revive nobody. A late heartbeat of the former one does not end the one that serves: it is older than the end of that lease.

Evidence: the four new tests of service_registry fail on the code before.

--- a/src/coordination/discovery/service_registry.cpp
+++ b/src/coordination/discovery/service_registry.cpp
@@ -72,12 +72,16 @@
     if (missed < listings_until_gone)
       continue;
     missed_listings_.erase(id);
-    leased.endpoint.phase = EndpointPhase::gone;
-    leased.gone_at = now;
+    end(leased, now);
     set_status(leased, EndpointStatus::out_of_service);
   }
 }
 
+void ServiceRegistry::end(LeasedEndpoint& leased, TimePoint now) {
+  leased.endpoint.phase = EndpointPhase::gone;
+  leased.gone_at = now;
+}
+
 void ServiceRegistry::apply_listing(const std::vector<Endpoint>& listed, TimePoint now) {
   std::set<std::string> listed_ids;
   for (const Endpoint& entry : listed) {
@@ -191,11 +195,35 @@
   mark_changed(leased);
 }
 
+void ServiceRegistry::end_superseded(TimePoint now) {
+  if (!options_.has_self_registration)
+    return;
+  std::map<std::string, TimePoint> last_renewals;  // by address, under leases that run
+  for (const auto& [id, leased] : endpoints_) {
+    if (leased.endpoint.phase == EndpointPhase::gone || leased.lease_until <= now)
+      continue;
+    TimePoint& last = last_renewals[leased.endpoint.address];
+    last = std::max(last, leased.last_heartbeat);
+  }
+  for (auto& [id, leased] : endpoints_) {
+    if (leased.endpoint.phase == EndpointPhase::gone)
+      continue;
+    const auto last = last_renewals.find(leased.endpoint.address);
+    if (last == last_renewals.end() || last->second <= leased.lease_until)
+      continue;
+    ++superseded_count_;
+    end(leased, now);
+    leased.endpoint.status = EndpointStatus::out_of_service;
+    mark_changed(leased);
+  }
+}
+
 void ServiceRegistry::run_eviction(TimePoint now) {
   renewals_.advance(now);
   if (now - last_eviction_ < options_.eviction_interval)
     return;
   last_eviction_ = now;
+  end_superseded(now);
   is_evicting_ = !options_.has_self_preservation || has_enough_renewals();
   if (is_evicting_)
     for (auto& [id, leased] : endpoints_)
--- a/src/coordination/discovery/service_registry.h
+++ b/src/coordination/discovery/service_registry.h
@@ -63,7 +63,9 @@
 
 // Invariant: an entry changes only by a greater stamp or a higher phase (EndpointTable), so that a
 // cancel wins wherever it arrives. An eviction marks a backend DOWN and keeps its entry; the next
-// renewal makes it UP again.
+// renewal makes it UP again. An incarnation that registered itself has ended, and is gone, once its
+// lease ran out and another one at its address renewed its own after that: an address serves one
+// incarnation at a time. A late heartbeat is older than that, so that it ends nobody.
 class ServiceRegistry : public EndpointTable {
  public:
   explicit ServiceRegistry(ServiceRegistryOptions options)
@@ -88,7 +90,8 @@
   // The renewals made here since the last call, for the peers; ages in milliseconds as of `now`.
   RenewedIds take_renewals(TimePoint now);
 
-  // Evicts expired leases and drops old tombstones, if the eviction interval has passed.
+  // Ends superseded incarnations, evicts expired leases and drops old tombstones, if the eviction
+  // interval has passed.
   void run_eviction(TimePoint now);
 
   // The services whose backends are probed and evicted.
@@ -121,6 +124,11 @@
     return eviction_count_;
   }
 
+  // Incarnations that ended here since this process started, as others began at their addresses.
+  std::size_t superseded_count() const {
+    return superseded_count_;
+  }
+
  private:
   // Whether a lease of this backend counts: it serves, is UP and its service is known.
   bool is_serving(const LeasedEndpoint& leased) const;
@@ -128,6 +136,8 @@
   void erase_unlisted(const std::set<std::string>& listed_ids, TimePoint now);
   bool has_enough_renewals() const;
   void evict(LeasedEndpoint& leased);
+  void end_superseded(TimePoint now);
+  void end(LeasedEndpoint& leased, TimePoint now);
   void set_status(LeasedEndpoint& leased, EndpointStatus status);
 
   ServiceRegistryOptions options_;
@@ -137,6 +147,7 @@
   bool is_filled_ = false;
   bool is_evicting_ = true;
   std::size_t eviction_count_ = 0;
+  std::size_t superseded_count_ = 0;
   TimePoint last_eviction_{};
   RenewalWindow renewals_;
   std::set<std::string> pending_renewals_;  // ids renewed here that the peers do not know of yet
--- a/src/registry/discovery_service.cpp
+++ b/src/registry/discovery_service.cpp
@@ -137,7 +137,11 @@
   if (!is_observing_)
     return registry_.erase_tombstones(now, tombstone_duration(settings_));
   const bool was_evicting = registry_.is_evicting();
+  const std::size_t superseded_before = registry_.superseded_count();
   registry_.run_eviction(now);
+  if (registry_.superseded_count() > superseded_before)
+    LOG(INFO) << "registry: " << registry_.superseded_count() - superseded_before
+              << " ended without a word, others began at their addresses";
   if (was_evicting != registry_.is_evicting())
     LOG(WARNING) << "registry: "
                  << (registry_.is_evicting() ? "evicts again"
--- a/tests/coordination/discovery/service_registry_test.cpp
+++ b/tests/coordination/discovery/service_registry_test.cpp
@@ -53,6 +53,31 @@
   }
 }
 
+ServiceRegistry self_registration_registry() {
+  ServiceRegistryOptions options;
+  options.has_self_registration = true;
+  ServiceRegistry registry(options);
+  registry.set_services({"s", "t"});
+  return registry;
+}
+
+Endpoint heartbeat(const std::string& id, const std::string& service, std::uint64_t call_count) {
+  Endpoint entry = listed(id);
+  entry.service = service;
+  entry.call_count = call_count;
+  return entry;
+}
+
+// One each second, with eviction.
+void run_heartbeats(ServiceRegistry& registry, const std::string& id, TimePoint from,
+                    TimePoint until) {
+  for (TimePoint now = from; now <= until; now += 1s) {
+    const auto call_count = static_cast<std::uint64_t>((now - start) / 1s) + 1;
+    registry.handle_heartbeat(heartbeat(id, "s", call_count + 100), now);
+    registry.run_eviction(now);
+  }
+}
+
 }  // namespace
 
 Test(service_registry, a_backend_is_starting_until_its_first_renewal) {
@@ -196,6 +221,63 @@
   cr_expect(here.endpoints().at("i-1").endpoint.phase == EndpointPhase::draining);
 }
 
+// A backend that crashed stayed registered for ever beside the incarnation that followed it.
+Test(service_registry, an_incarnation_ends_once_another_renews_at_its_address_after_its_lease) {
+  ServiceRegistry registry = self_registration_registry();
+  ServiceRegistry peer = self_registration_registry();
+  registry.handle_heartbeat(heartbeat("former", "s", 5), start);
+  registry.handle_heartbeat(heartbeat("next", "s", 1), start + 3s);
+  run_heartbeats(registry, "next", start + 4s, start + 6s);
+  cr_expect(phase(registry, "former") == EndpointPhase::ready, "its lease runs");
+  run_heartbeats(registry, "next", start + 7s, start + 9s);
+  cr_expect(phase(registry, "former") == EndpointPhase::gone);
+  cr_expect(phase(registry, "next") == EndpointPhase::ready);
+  cr_expect(registry.superseded_count() == 1);
+  peer.handle_heartbeat(heartbeat("former", "s", 5), start);
+  peer.apply_replica(registry.changes_since(0, start + 9s), start + 9s);
+  cr_expect(phase(peer, "former") == EndpointPhase::gone);
+  // Heartbeats that come late, here or at a peer, revive nobody.
+  registry.handle_heartbeat(heartbeat("former", "s", 6), start + 10s);
+  peer.handle_heartbeat(heartbeat("former", "s", 7), start + 10s);
+  cr_expect(phase(registry, "former") == EndpointPhase::gone);
+  cr_expect(phase(peer, "former") == EndpointPhase::gone);
+  cr_expect(status(peer, "former") == EndpointStatus::out_of_service);
+}
+
+// The address went to a backend of another service.
+Test(service_registry, an_incarnation_ends_also_when_its_address_serves_another_service) {
+  ServiceRegistry registry = self_registration_registry();
+  registry.handle_heartbeat(heartbeat("former", "s", 5), start);
+  for (int count = 1; count <= 10; ++count) {
+    const TimePoint now = start + Duration(1000) * count;
+    registry.handle_heartbeat(heartbeat("other", "t", static_cast<std::uint64_t>(count)), now);
+    registry.run_eviction(now);
+  }
+  cr_expect(phase(registry, "former") == EndpointPhase::gone);
+}
+
+// A heartbeat that came late must not end the backend that serves at the address by now.
+Test(service_registry, a_late_heartbeat_of_a_former_incarnation_ends_nobody) {
+  ServiceRegistry registry = self_registration_registry();
+  run_heartbeats(registry, "next", start, start + 5s);
+  registry.handle_heartbeat(heartbeat("former", "s", 5), start + 6s);
+  // The one that serves is cut off for longer than its lease.
+  for (TimePoint now = start + 6s; now < start + 20s; now += 1s)
+    registry.run_eviction(now);
+  cr_expect(phase(registry, "next") == EndpointPhase::ready);
+  run_heartbeats(registry, "next", start + 20s, start + 22s);
+  cr_expect(phase(registry, "next") == EndpointPhase::ready);
+  cr_expect(phase(registry, "former") == EndpointPhase::gone);
+}
+
+// Those that crashed and came back counted as missing renewals, so that nobody was evicted.
+Test(service_registry, superseded_incarnations_do_not_keep_self_preservation_up) {
+  ServiceRegistry registry = self_registration_registry();
+  registry.handle_heartbeat(heartbeat("former", "s", 5), start);
+  run_heartbeats(registry, "next", start + 2s, start + 9s);
+  cr_expect(registry.is_evicting());
+}
+
 Test(service_registry, an_invalid_heartbeat_is_refused_naming_the_field) {
   const struct {
     const char* body;
