Registries: what is gone is forgotten by all peers after its tombstone

They stand in every complete list, so memory and traffic grow with each backend that ever ended.

Cause: a peer that had just forgotten an entry got it back with the complete list of one that had not yet, and counted the whole tombstone anew; then the other one got it back from there.

Change: with an entry that is gone, what is left of its tombstone travels in place of its lease, which it has not; whoever does not know the backend remembers it for no longer than that.

--- a/src/coordination/discovery/service_registry.cpp
+++ b/src/coordination/discovery/service_registry.cpp
@@ -252,13 +252,36 @@
   list.revision = revision_;
   for (const auto& [id, leased] : endpoints_)
     if (leased.revision > revision)
-      list.entries.push_back(with_remaining_times(leased, now));
+      list.entries.push_back(entry_to_send(leased, now));
   return list;
 }
 
+// Of a backend that is gone, what is left of its tombstone travels in place of its lease.
+Endpoint ServiceRegistry::entry_to_send(const LeasedEndpoint& leased, TimePoint now) const {
+  Endpoint entry = with_remaining_times(leased, now);
+  if (entry.phase != EndpointPhase::gone)
+    return entry;
+  const Duration left = options_.tombstone - elapsed(leased.gone_at, now);
+  entry.lease_left = static_cast<std::uint64_t>(std::max(left, Duration(0)).count());
+  return entry;
+}
+
+// A backend that was not known here, or not any more, is remembered no longer than at the peer.
+void ServiceRegistry::apply_tombstone(const Endpoint& entry, TimePoint now) {
+  const auto longest = static_cast<std::uint64_t>(options_.tombstone.count());
+  const Duration left(static_cast<std::int64_t>(std::min(entry.lease_left, longest)));
+  if (left <= Duration(0))
+    return;
+  merge(entry, now);
+  endpoints_.at(entry.id).gone_at = now - (options_.tombstone - left);
+}
+
 void ServiceRegistry::apply_replica(const EndpointList& list, TimePoint now) {
   for (const Endpoint& entry : list.entries) {
-    merge(entry, now);
+    if (entry.phase == EndpointPhase::gone && !endpoints_.contains(entry.id))
+      apply_tombstone(entry, now);
+    else
+      merge(entry, now);
     stamp_ = std::max(stamp_, entry.status_revision);
   }
   if (list.is_complete && list.is_filled)
--- a/src/coordination/discovery/service_registry.h
+++ b/src/coordination/discovery/service_registry.h
@@ -46,7 +46,7 @@
   bool has_self_registration = false;
 
   // How long the entry of a backend that is gone is kept, against late messages that would revive
-  // it.
+  // it. Peers forget it at the same time, within what their lists take.
   Duration tombstone{60000};
 };
 
@@ -135,6 +135,8 @@
   void apply_listed(const Endpoint& entry, TimePoint now);
   void erase_unlisted(const std::set<std::string>& listed_ids, TimePoint now);
   bool has_enough_renewals() const;
+  Endpoint entry_to_send(const LeasedEndpoint& leased, TimePoint now) const;
+  void apply_tombstone(const Endpoint& entry, TimePoint now);
   void evict(LeasedEndpoint& leased);
   void end_superseded(TimePoint now);
   void end(LeasedEndpoint& leased, TimePoint now);
--- a/src/protocol/discovery_messages.h
+++ b/src/protocol/discovery_messages.h
@@ -42,7 +42,7 @@
   EndpointStatus status = EndpointStatus::starting;
   std::uint64_t status_revision = 0;  // of status and lease: of two entries the greater one wins
   std::uint64_t warmup_left = 0;      // milliseconds
-  std::uint64_t lease_left = 0;       // milliseconds
+  std::uint64_t lease_left = 0;       // milliseconds; once gone: of its tombstone
   bool is_leader = false;             // of a database, as it reports itself
   std::uint64_t call_count = 0;       // heartbeats that it has sent
 };
--- a/tests/coordination/discovery/service_registry_test.cpp
+++ b/tests/coordination/discovery/service_registry_test.cpp
@@ -270,6 +270,36 @@
   cr_expect(phase(registry, "former") == EndpointPhase::gone);
 }
 
+// Complete lists of peers brought back what had been forgotten, over and over.
+Test(service_registry, a_backend_that_is_gone_is_forgotten_by_all_peers_after_its_tombstone) {
+  constexpr int registry_count = 3;
+  constexpr int steps_between_lists = 50;
+  const Duration tombstone = ServiceRegistryOptions{}.tombstone;
+  std::vector<ServiceRegistry> registries(registry_count, self_registration_registry());
+  registries[0].handle_heartbeat(heartbeat("b0", "s", 1), start);
+  Endpoint cancel = listed("b0", EndpointPhase::gone);
+  for (int step = 0; step < 1300; ++step) {
+    const TimePoint now = start + Duration(100) * step;
+    if (step == 1)
+      registries[0].handle_heartbeat(cancel, now);
+    for (int sender = 0; sender < registry_count; ++sender) {
+      // They forget at slightly other times: one of them looks each second only.
+      if (sender > 0 || step % 10 == 0)
+        registries[static_cast<std::size_t>(sender)].erase_tombstones(now, tombstone);
+      if (step % steps_between_lists != sender * 17)
+        continue;
+      for (int receiver = 0; receiver < registry_count; ++receiver)
+        if (receiver != sender)
+          registries[static_cast<std::size_t>(receiver)].apply_replica(
+              registries[static_cast<std::size_t>(sender)].changes_since(0, now), now);
+    }
+    if (step == 500)
+      cr_expect(phase(registries[2], "b0") == EndpointPhase::gone);
+  }
+  for (const ServiceRegistry& registry : registries)
+    cr_expect(registry.endpoints().empty());
+}
+
 // Those that crashed and came back counted as missing renewals, so that nobody was evicted.
 Test(service_registry, superseded_incarnations_do_not_keep_self_preservation_up) {
   ServiceRegistry registry = self_registration_registry();
