Replace a silent leader that nobody reaches, also where one zone alone asks

Cause: a leader without heartbeats counted as lost if poolers of two zones failed, or if no pooler told anything. Poolers of one zone that fail do not suffice for the first and ruled out the second, however long the silence lasted and although the registry's own STATUS was not answered either.

Change: the second way asks that no pooler had an answer, whether many, few or none asked. It still needs four heartbeats missing and no answer to STATUS, so that a leader cut off from the registries alone stays, as does one that the registry or any pooler still reaches.

--- a/src/coordination/databases/failover.cpp
+++ b/src/coordination/databases/failover.cpp
@@ -251,7 +251,8 @@
 }
 
 // Missing heartbeats alone do not suffice: they may have gone to a registry out of reach. Either
-// poolers fail as well, or nobody saw the leader for long.
+// poolers of several zones fail as well, or for long nobody had an answer: no pooler, and not this
+// registry either.
 bool Failover::is_leader_lost(const DatabaseLeadership& leadership, Duration silence,
                               TimePoint now) const {
   const auto position =
@@ -262,7 +263,7 @@
   const TimePoint last_answer_at = transitions_.at(leadership.service).last_answer_at;
   const bool is_answering = last_answer_at != TimePoint{} &&
                             now - last_answer_at < options_.backend_heartbeat_interval * 2;
-  return verdict.is_unobserved && !is_answering &&
+  return verdict.is_unanswered && !is_answering &&
          silence > options_.backend_heartbeat_interval * 4;
 }
 
--- a/src/coordination/databases/pooler_evidence.cpp
+++ b/src/coordination/databases/pooler_evidence.cpp
@@ -48,7 +48,7 @@
   }
   Verdict verdict;
   verdict.is_failing = failing_zones.size() >= min_failing_zones && failing > fine;
-  verdict.is_unobserved = failing == 0 && fine == 0;
+  verdict.is_unanswered = fine == 0;
   return verdict;
 }
 
--- a/src/coordination/databases/pooler_evidence.h
+++ b/src/coordination/databases/pooler_evidence.h
@@ -36,7 +36,7 @@
 
   struct Verdict {
     bool is_failing = false;     // poolers of two zones fail, and more fail than succeed
-    bool is_unobserved = false;  // no pooler saw either
+    bool is_unanswered = false;  // no pooler had an answer, whether any asked or not
   };
 
   // Judges the leadership at `position` of the table of that revision.
--- a/tests/coordination/databases/failover_test.cpp
+++ b/tests/coordination/databases/failover_test.cpp
@@ -38,6 +38,7 @@
     TimePoint report_due{};
     bool is_silent = false;
     bool has_failing_requests = false;
+    bool is_idle = false;  // no client asks it for anything
   };
 
   explicit World(int sync = 0) : sync(sync) {
@@ -90,9 +91,10 @@
       return;
     pooler.report_due = now + 200ms;
     const std::string bit(1, '\1');
+    const bool is_failing = pooler.has_failing_requests;
     failover->record_pooler(pooler.name, pooler.incarnation, pooler.table.revision, pooler.zone,
-                            pooler.has_failing_requests ? bit : "",
-                            pooler.has_failing_requests ? "" : bit, now);
+                            is_failing && !pooler.is_idle ? bit : "",
+                            is_failing || pooler.is_idle ? "" : bit, now);
     if (const auto lease = failover->grant(pooler.name, pooler.incarnation, now))
       pooler.lease_until = now + *lease - 20ms;  // the request left that much earlier
     if (agreed.revision > pooler.table.revision)
@@ -445,6 +447,27 @@
   cr_expect(local.is_led_by("a") && local.promotions == 0);
 }
 
+// Failures that poolers of one zone alone report kept a lost leader in its place for ever.
+Test(failover, a_leader_that_only_one_zone_asks_for_is_replaced_once_it_is_silent_for_long) {
+  World world;
+  world.run_until_stable();
+  world.poolers[0].is_idle = true;
+  world.poolers[1].has_failing_requests = world.poolers[2].has_failing_requests = true;
+  world.at("a").is_up = false;
+  const TimePoint lost_at = world.now;
+  cr_expect(world.run_until([&] { return world.promotions > 0; }));
+  cr_expect(world.now - lost_at > world.options.backend_heartbeat_interval * 3);
+  cr_expect(world.run_until([&] { return !world.is_led_by("a"); }));
+  // One that the registry still reaches is not lost.
+  World reachable;
+  reachable.run_until_stable();
+  reachable.poolers[0].is_idle = true;
+  reachable.poolers[1].has_failing_requests = reachable.poolers[2].has_failing_requests = true;
+  reachable.at("a").is_sending_heartbeats = false;
+  reachable.run(200);
+  cr_expect(reachable.is_led_by("a") && reachable.promotions == 0);
+}
+
 Test(failover, a_leader_that_returns_before_the_promotion_stays) {
   World world;
   world.run_until_stable();
