With sync, elect by the log alone: an emptying replica may have commits alone

Cause: an emptying replica counted as an answer and was never elected; that all had answered was taken for enough, whether or not the best one left had what the emptying one has. Likewise a planned change waited 1.5 s for a replica to catch up with its emptying leader, and then went on without.

Change: with sync above 0 the most advanced log is elected, also of a replica that is emptying; being ready decides between equal ones. It leads, and as an emptying leader hands on at once to a replica that has everything. As long as a former leader answers, with sync a replica that lacks some of its log is not promoted. A replica that has all of a leader's log needs no further answers: whatever was acknowledged is in the leader's log. Answers that were under way when the phase changed count no more, as the old place in the log could pass for the last one.

--- a/src/coordination/databases/failover.cpp
+++ b/src/coordination/databases/failover.cpp
@@ -93,12 +93,20 @@
 }
 
 void Failover::send_command(const std::string& service, const std::string& id,
-                            const std::string& text, bool is_step_down) {
+                            PendingCommand::Kind kind, const std::string& text) {
   ++last_token_;
-  pending_[last_token_] = {service, id, is_step_down};
+  pending_[last_token_] = {service, id, kind};
   output_.commands.push_back({last_token_, id, text});
 }
 
+// Answers that are under way count no more: they tell of what was before.
+void Failover::forget_queries(const std::string& service) {
+  transitions_[service].outstanding_queries.clear();
+  std::erase_if(pending_, [&](const auto& item) {
+    return item.second.service == service && item.second.kind == PendingCommand::Kind::status;
+  });
+}
+
 void Failover::start_leading(TimePoint now) {
   leading_since_ = now;
   transitions_.clear();
@@ -142,6 +150,7 @@
   Transition& transition = transitions_[leadership.service];
   if (transition.number == leadership.number)
     return transition;
+  forget_queries(leadership.service);
   const Transition former = std::exchange(transition, {});
   transition.number = leadership.number;
   transition.phase_started_at = now;
@@ -193,24 +202,25 @@
   const auto transition = transitions_.find(leadership.service);
   if (transition == transitions_.end())
     return newest;
-  for (const auto& [id, status] : transition->second.statuses)
-    newest = std::max({newest, status.term, status.position.term});
+  for (const auto& [id, answer] : transition->second.answers)
+    newest = std::max({newest, answer.status.term, answer.status.position.term});
   return newest;
 }
 
 // The term is agreed with the leadership: it has to outlast the database that led in it, and every
 // registry that saw it.
 bool Failover::record_term(const DatabaseLeadership& leadership) {
-  const std::map<std::string, DatabaseStatus>& statuses =
-      transitions_.at(leadership.service).statuses;
-  const auto status = statuses.find(leadership.id);
-  if (status == statuses.end() || !status->second.is_leader ||
-      status->second.term <= leadership.term)
+  const std::map<std::string, StatusAnswer>& answers = transitions_.at(leadership.service).answers;
+  const auto answer = answers.find(leadership.id);
+  if (answer == answers.end())
+    return false;
+  const DatabaseStatus& status = answer->second.status;
+  if (!status.is_leader || status.term <= leadership.term)
     return false;
   DatabaseLeadership next = leadership;
-  next.term = status->second.term;
+  next.term = status.term;
   propose_change(std::move(next),
-                 leadership.service + " is led in term " + std::to_string(status->second.term));
+                 leadership.service + " is led in term " + std::to_string(status.term));
   return true;
 }
 
@@ -221,7 +231,7 @@
       !transition.outstanding_queries.insert(leadership.id).second)
     return;
   transition.next_step_at = now + options_.status_retry_interval * leader_query_intervals;
-  send_command(leadership.service, leadership.id, "STATUS", false);
+  send_command(leadership.service, leadership.id, PendingCommand::Kind::status, "STATUS");
 }
 
 // Databases that say they lead beside the agreed leader missed a change. The command touches none
@@ -237,8 +247,8 @@
     if (last != TimePoint{} && now - last < step_down_interval)
       continue;
     last = now;
-    send_command(leadership.service, endpoint->id, "STEPDOWN " + std::to_string(leadership.term),
-                 true);
+    send_command(leadership.service, endpoint->id, PendingCommand::Kind::step_down,
+                 "STEPDOWN " + std::to_string(leadership.term));
   }
 }
 
@@ -304,13 +314,13 @@
     return;
   const PendingCommand command = std::move(found->second);
   pending_.erase(found);
-  if (command.is_step_down)
+  if (command.kind == PendingCommand::Kind::step_down)
     return;
   Transition& transition = transitions_[command.service];
   transition.outstanding_queries.erase(command.id);
   if (!status)
     return;
-  transition.statuses[command.id] = *status;
+  transition.answers[command.id] = {*status, now};
   transition.last_answer_at = now;
 }
 
@@ -323,11 +333,8 @@
   transition.promoted_at = now;  // the call may have been on its way until now
   transition.is_promotion_accepted = status == http_ok;
   // An answer from before the promotion may tell of a lead that it ended.
-  transition.statuses.clear();
-  transition.outstanding_queries.clear();
-  std::erase_if(pending_, [&](const auto& item) {
-    return item.first != token && item.second.service == found->second.service;
-  });
+  transition.answers.clear();
+  forget_queries(found->second.service);
   if (status == http_conflict)
     transition.is_promotion_refused = true;
   pending_.erase(found);
--- a/src/coordination/databases/failover.h
+++ b/src/coordination/databases/failover.h
@@ -128,26 +128,37 @@
  private:
   friend struct InvariantProbe;  // tests plant faults
 
+  // What a database answered to STATUS.
+  struct StatusAnswer {
+    DatabaseStatus status;
+    TimePoint received_at{};
+  };
+
   // Progress within one phase of a service; lost with the leadership of the registries.
   struct Transition {
-    std::uint64_t number = 0;                        // of the leadership that it belongs to
-    TimePoint phase_started_at{};                    // when that was first seen
-    TimePoint comparison_started_at{};               // of the replicas' logs
-    TimePoint next_step_at{};                        // no query or promotion before
-    std::map<std::string, DatabaseStatus> statuses;  // by database id, the newest of each
-    std::set<std::string> outstanding_queries;       // database ids
-    TimePoint last_answer_at{};                      // of any database
-    bool was_promoted = false;                       // a promotion was called for
-    bool is_promotion_outstanding = false;           // its result is
+    std::uint64_t number = 0;                     // of the leadership that it belongs to
+    TimePoint phase_started_at{};                 // when that was first seen
+    TimePoint comparison_started_at{};            // of the replicas' logs
+    TimePoint next_step_at{};                     // no query or promotion before
+    std::map<std::string, StatusAnswer> answers;  // by database id, the newest of each
+    std::set<std::string> outstanding_queries;    // database ids
+    TimePoint last_answer_at{};                   // of any database
+    bool was_promoted = false;                    // a promotion was called for
+    bool is_promotion_outstanding = false;        // its result is
     bool is_promotion_accepted = false;
     bool is_promotion_refused = false;
     TimePoint promoted_at{};  // when the last promotion was called for, or its result came
   };
 
   struct PendingCommand {
+    enum class Kind {
+      status,
+      step_down,
+      promotion
+    };
     std::string service;
     std::string id;
-    bool is_step_down = false;
+    Kind kind;
   };
 
   // The replicas' logs, as far as they have answered. A replica has answered if any of its
@@ -165,8 +176,9 @@
   Transition& current_transition(const DatabaseLeadership& leadership, TimePoint now);
   void advance_service(const std::string& service, int sync, const EndpointPointers& endpoints,
                        TimePoint now);
-  void send_command(const std::string& service, const std::string& id, const std::string& text,
-                    bool is_step_down);
+  void send_command(const std::string& service, const std::string& id, PendingCommand::Kind kind,
+                    const std::string& text);
+  void forget_queries(const std::string& service);
   void propose_change(DatabaseLeadership leadership, const std::string& log_line);
   void propose_leader(DatabaseLeadership leadership, const std::string& id,
                       const DatabaseStatus& status, const std::string& log_line);
@@ -196,12 +208,13 @@
   void query_databases(const std::string& service, const EndpointPointers& endpoints,
                        TimePoint now);
   Comparison compare_replicas(const DatabaseLeadership& leadership,
-                              const EndpointPointers& endpoints) const;
-  bool is_elected(const Comparison& comparison, const DatabaseStatus* former, int sync,
-                  Duration waited) const;
-  bool has_former_leader_returned(const DatabaseLeadership& leadership,
-                                  const DatabaseStatus* former, const EndpointPointers& endpoints,
-                                  TimePoint now) const;
+                              const EndpointPointers& endpoints, int sync) const;
+  bool must_catch_up(const Comparison& comparison, const StatusAnswer* former, int sync,
+                     Duration waited, TimePoint now) const;
+  bool is_elected(const DatabaseLeadership& leadership, const Comparison& comparison,
+                  const StatusAnswer* former, int sync, Duration waited) const;
+  bool has_former_leader_returned(const DatabaseLeadership& leadership, const StatusAnswer* former,
+                                  const EndpointPointers& endpoints, TimePoint now) const;
   void promote_target(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
                       TimePoint now);
   bool is_target_lost(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
--- a/src/coordination/databases/failover_election.cpp
+++ b/src/coordination/databases/failover_election.cpp
@@ -9,9 +9,13 @@
 namespace saddlewing {
 namespace {
 
-// While the former leader is reachable, its most advanced replica has so long to catch up with it.
+// While the former leader is reachable, its most advanced replica has so long to catch up with it;
+// with synchronous replication, as long as the former leader answers.
 constexpr Duration max_catch_up_wait{1500};
 
+// A former leader that answered no later than that is reachable.
+constexpr Duration max_answer_age{2000};
+
 // In status retry intervals: without synchronous replication, an election waits so long for
 // replicas that do not answer.
 constexpr int answer_wait_intervals = 3;
@@ -25,10 +29,11 @@
 // A target whose heartbeats are missing so long after its election is given up.
 constexpr Duration target_timeout{2500};
 
-const DatabaseStatus* find_status(const std::map<std::string, DatabaseStatus>& statuses,
-                                  const std::string& id) {
-  const auto found = statuses.find(id);
-  return found == statuses.end() ? nullptr : &found->second;
+// Null: it has not answered.
+template <class Answers>
+const typename Answers::mapped_type* find_answer(const Answers& answers, const std::string& id) {
+  const auto found = answers.find(id);
+  return found == answers.end() ? nullptr : &found->second;
 }
 
 }  // namespace
@@ -64,7 +69,7 @@
                            options_.backend_heartbeat_interval * max_silent_intervals;
     if (is_silent || !transition.outstanding_queries.insert(endpoint->id).second)
       continue;
-    send_command(service, endpoint->id, "STATUS", false);
+    send_command(service, endpoint->id, PendingCommand::Kind::status, "STATUS");
   }
 }
 
@@ -81,14 +86,14 @@
   std::uint64_t newest_term = 0;
   std::size_t answer_count = 0;
   for (const DatabaseEndpoint* claimant : claimants) {
-    const DatabaseStatus* status = find_status(transition.statuses, claimant->id);
-    if (!status)
+    const StatusAnswer* answer = find_answer(transition.answers, claimant->id);
+    if (!answer)
       continue;
     ++answer_count;
-    if (!status->is_leader || status->term <= newest_term)
+    if (!answer->status.is_leader || answer->status.term <= newest_term)
       continue;
     leader = claimant;
-    newest_term = status->term;
+    newest_term = answer->status.term;
   }
   const bool is_decided = answer_count == claimants.size() ||
                           now - transition.comparison_started_at >=
@@ -97,7 +102,7 @@
 }
 
 Failover::Comparison Failover::compare_replicas(const DatabaseLeadership& leadership,
-                                                const EndpointPointers& endpoints) const {
+                                                const EndpointPointers& endpoints, int sync) const {
   const Transition& transition = transitions_.at(leadership.service);
   Comparison comparison;
   std::map<std::string, bool> has_answered;  // by address of a replica
@@ -109,21 +114,23 @@
     // It leads again without a promotion, or, once one was called for, is elected like a replica.
     if (is_former && leadership.target.empty())
       continue;
-    const DatabaseStatus* status = find_status(transition.statuses, endpoint->id);
-    has_answered[endpoint->address] |= status != nullptr;
-    if (!status)
+    const StatusAnswer* answer = find_answer(transition.answers, endpoint->id);
+    has_answered[endpoint->address] |= answer != nullptr;
+    if (!answer)
       continue;
+    const DatabaseStatus& status = answer->status;
     // While no term was ever agreed, a former leader can't be told from the present one.
-    const bool is_leading = leadership.term > 0 && is_present_leader(leadership, *status);
-    // A replica that is emptying counts as an answer, but is not elected.
-    if (!endpoint->is_ready && !is_leading)
+    const bool is_leading = leadership.term > 0 && is_present_leader(leadership, status);
+    // A replica that is emptying is elected only where it may alone have a commit, to hand it on.
+    if (!endpoint->is_ready && !is_leading && sync <= 0)
       continue;
     if (comparison.best &&
-        std::tuple(is_leading, status->position) <=
-            std::tuple(comparison.is_best_leading, comparison.best_status.position))
+        std::tuple(is_leading, status.position, endpoint->is_ready) <=
+            std::tuple(comparison.is_best_leading, comparison.best_status.position,
+                       comparison.best->is_ready))
       continue;
     comparison.best = endpoint;
-    comparison.best_status = *status;
+    comparison.best_status = status;
     comparison.is_best_leading = is_leading;
   }
   has_answered.erase(former_address);
@@ -132,16 +139,24 @@
   return comparison;
 }
 
-// `former`: the status of the former leader; null: it does not answer. `waited`: since the
-// comparison began.
-bool Failover::is_elected(const Comparison& comparison, const DatabaseStatus* former, int sync,
-                          Duration waited) const {
-  if (!comparison.best)
-    return false;
-  const bool has_everything =
-      former != nullptr && comparison.best_status.position >= former->position;
-  if (former != nullptr && !has_everything && waited < max_catch_up_wait)
+// Whether the most advanced replica lacks something of the former leader's and may still get it.
+// `former`: the answer of the former leader; null: there is none. `waited`: since the comparison
+// began.
+bool Failover::must_catch_up(const Comparison& comparison, const StatusAnswer* former, int sync,
+                             Duration waited, TimePoint now) const {
+  if (!former || comparison.best_status.position >= former->status.position)
     return false;
+  const bool is_reachable = elapsed(former->received_at, now) <= max_answer_age;
+  return waited < max_catch_up_wait || (sync > 0 && is_reachable);
+}
+
+// `former`, `waited`: as above.
+bool Failover::is_elected(const DatabaseLeadership& leadership, const Comparison& comparison,
+                          const StatusAnswer* former, int sync, Duration waited) const {
+  // Whatever was acknowledged is in the leader's log.
+  if (former && former->status.is_leader && former->status.term >= newest_term(leadership) &&
+      comparison.best_status.position >= former->status.position)
+    return true;
   if (comparison.has_every_answer)
     return true;
   // With synchronous replication a replica that does not answer may alone have a commit.
@@ -162,8 +177,8 @@
     transition.comparison_started_at = now;
   const std::string& service = leadership.service;
   query_databases(service, endpoints, now);
-  const DatabaseStatus* former = find_status(transition.statuses, leadership.id);
-  const Comparison comparison = compare_replicas(leadership, endpoints);
+  const StatusAnswer* former = find_answer(transition.answers, leadership.id);
+  const Comparison comparison = compare_replicas(leadership, endpoints, sync);
   const DatabaseStatus& best = comparison.best_status;
   // Another leads already: an earlier promotion took effect, or the former leader began anew.
   if (comparison.is_best_leading) {
@@ -171,9 +186,11 @@
     return propose_leader(leadership, id, best, service + " is led by " + id + " already");
   }
   if (!leadership.is_planned && has_former_leader_returned(leadership, former, endpoints, now))
-    return propose_leader(leadership, leadership.id, *former,
+    return propose_leader(leadership, leadership.id, former->status,
                           service + " is led by " + leadership.id + " as before");
-  if (!is_elected(comparison, former, sync, elapsed(transition.comparison_started_at, now)))
+  const Duration waited = elapsed(transition.comparison_started_at, now);
+  if (!comparison.best || must_catch_up(comparison, former, sync, waited, now) ||
+      !is_elected(leadership, comparison, former, sync, waited))
     return;
   DatabaseLeadership next = leadership;
   next.phase = DatabaseLeadership::Phase::raising;
@@ -184,9 +201,9 @@
 }
 
 bool Failover::has_former_leader_returned(const DatabaseLeadership& leadership,
-                                          const DatabaseStatus* former,
+                                          const StatusAnswer* former,
                                           const EndpointPointers& endpoints, TimePoint now) const {
-  if (!former || !is_present_leader(leadership, *former))
+  if (!former || !is_present_leader(leadership, former->status))
     return false;
   return std::any_of(endpoints.begin(), endpoints.end(), [&](const DatabaseEndpoint* endpoint) {
     return endpoint->id == leadership.id && endpoint->is_ready &&
@@ -206,7 +223,7 @@
   transition.is_promotion_outstanding = true;
   transition.promoted_at = now;
   ++last_token_;
-  pending_[last_token_] = {leadership.service, leadership.target, false};
+  pending_[last_token_] = {leadership.service, leadership.target, PendingCommand::Kind::promotion};
   output_.promotions.push_back({last_token_, leadership.service, leadership.target});
 }
 
@@ -228,9 +245,9 @@
   const std::string& service = leadership.service;
   const std::string& target = leadership.target;
   Transition& transition = transitions_[service];
-  const DatabaseStatus* status = find_status(transition.statuses, target);
-  if (status && has_taken_the_lead(leadership, *status))
-    return propose_leader(leadership, target, *status, service + " is led by " + target);
+  const StatusAnswer* answer = find_answer(transition.answers, target);
+  if (answer && has_taken_the_lead(leadership, answer->status))
+    return propose_leader(leadership, target, answer->status, service + " is led by " + target);
   if (transition.is_promotion_refused || is_target_lost(leadership, endpoints, now))
     return propose_closing(leadership, leadership.is_planned,
                            service + ": " + target + " can't take the lead");
@@ -239,7 +256,7 @@
   transition.next_step_at = now + options_.status_retry_interval;
   call_promotion(leadership, now);
   if (transition.outstanding_queries.insert(target).second)
-    send_command(service, target, "STATUS", false);
+    send_command(service, target, PendingCommand::Kind::status, "STATUS");
 }
 
 }  // namespace saddlewing
--- a/tests/coordination/databases/failover_test.cpp
+++ b/tests/coordination/databases/failover_test.cpp
@@ -416,6 +416,37 @@
   cr_expect(world.run_until([&] { return !world.at("a").is_leader; }));
 }
 
+// Commits were lost that an emptying replica alone had received.
+Test(failover, with_synchronous_replication_an_emptying_replica_that_is_ahead_hands_its_log_on) {
+  World world(1);
+  world.run_until_stable();
+  world.at("b").is_ready = false;
+  world.at("b").number = world.acknowledged = 30;  // c receives nothing
+  world.at("a").is_up = false;
+  world.set_failing_requests(true);
+  cr_expect(world.run_until([&] { return world.is_led_by("b"); }));
+  world.set_failing_requests(false);
+  // It leads until another has everything, however long that takes.
+  world.run(100);
+  cr_expect(!world.is_led_by("c") && world.promotions == 1);
+  world.at("c").number = 30;
+  world.at("c").log_term = 2;
+  world.at("b").log_term = 2;
+  cr_expect(world.run_until([&] { return world.is_led_by("c"); }));
+}
+
+// While an emptying leader was waited for, it ended: the one that is left takes over.
+Test(failover, with_synchronous_replication_a_leader_that_ends_is_not_waited_for_without_end) {
+  World world(1);
+  world.run_until_stable();
+  world.at("a").is_ready = false;
+  world.at("a").number = 20;
+  world.run(60);
+  cr_expect(world.promotions == 0);
+  world.at("a").is_up = false;
+  cr_expect(world.run_until([&] { return world.promotions == 1; }));
+}
+
 Test(failover, a_silent_pooler_is_waited_for_until_its_lease_expires) {
   World world;
   world.run_until_stable();
