Soak: what another kind of run needs stands by itself

Cause: a run of databases behind poolers wants the cluster, the player and the look at the nodes' metrics, and other troubles at other stand-ins. Change: NodeObserver reads metrics; the cluster takes the kind of its nodes that carry traffic; the player asks the fleet for names and addresses; what schedules are drawn of is a value (Drawing). Nothing else changes.

--- a/tools/mixed_versions/node.py
+++ b/tools/mixed_versions/node.py
@@ -22,6 +22,7 @@
 
     REGISTRY = "registry"
     BROKER = "broker"
+    POOLER = "pooler"
 
 
 @dataclass(frozen=True)
@@ -36,7 +37,7 @@
     @property
     def inner_address(self) -> str:
         """Where other nodes and the operator's commands reach it."""
-        return f"{self.host}:{SPARE_PORTS[0] + (self.kind is NodeKind.BROKER)}"
+        return f"{self.host}:{SPARE_PORTS[0] + (self.kind is not NodeKind.REGISTRY)}"
 
 
 @dataclass(frozen=True)
--- a/tools/soak/backends.py
+++ b/tools/soak/backends.py
@@ -129,6 +129,15 @@
 
     # Troubles.
 
+    @property
+    def hosts(self) -> list[str]:
+        """The addresses of all backends."""
+        return [backend.spec.host for backend in self.places]
+
+    def name_of(self, target: int) -> str:
+        """Of the backend with this number, for the history."""
+        return self.places[target].spec.identity
+
     async def trouble(self, kind: str, target: int, for_s: float) -> None:
         """Plays one trouble of a backend until it is over."""
         backend = self.places[target]
--- a/tools/soak/cluster.py
+++ b/tools/soak/cluster.py
@@ -147,10 +147,14 @@
 
 
 class SoakCluster:
-    """All nodes of a run."""
+    """All nodes of a run.
+
+    `traffic_kind`: of the nodes that carry traffic; they are the cluster's brokers all the same.
+    """
 
     def __init__(self, network: Network, folder: Path, build: Build, faults: Path, schedule,
-                 history: History, platform_host: str):
+                 history: History, platform_host: str,
+                 traffic_kind: NodeKind = NodeKind.BROKER):
         self._build = build
         self._history = history
         registry_hosts = tuple(network.host(1 + at) for at in range(schedule.registries))
@@ -166,9 +170,9 @@
                      settings, folder / f"registry-{at + 1}", faults, overrides)
             for at, host in enumerate(registry_hosts)]
         self.brokers = [
-            SoakNode(NodeSpec(NodeKind.BROKER, f"broker-{at + 1}", network.host(11 + at),
-                              ZONES[at % 2]),
-                     settings, folder / f"broker-{at + 1}", faults, overrides)
+            SoakNode(NodeSpec(traffic_kind, f"{traffic_kind.value}-{at + 1}",
+                              network.host(11 + at), ZONES[at % 2]),
+                     settings, folder / f"{traffic_kind.value}-{at + 1}", faults, overrides)
             for at in range(schedule.brokers)]
         self._hole = Hole(network.host(30))
         self._lives: dict[str, Life] = {}
--- a/tools/soak/player.py
+++ b/tools/soak/player.py
@@ -49,7 +49,7 @@
         if trouble.role == "broker":
             return (self._broker(trouble.target).spec.name,)
         if trouble.role == "backend":
-            return (self._fleet.places[trouble.target].spec.identity,)
+            return (self._fleet.name_of(trouble.target),)
         if trouble.role == "core":
             return tuple(node.spec.name for node in self._cluster.registries)
         return ("platform",)
@@ -121,7 +121,7 @@
     async def _reset(self, node: SoakNode, _trouble: Trouble) -> None:
         node.rules.serial += 1
         node.rules.reset = {other.spec.host for other in self._cluster.nodes if other is not node}
-        node.rules.reset |= {backend.spec.host for backend in self._fleet.places}
+        node.rules.reset |= set(self._fleet.hosts)
         self._cluster.apply(node)
         await asyncio.sleep(0.3)
         node.rules.reset = set()
--- a/tools/soak/scenario.py
+++ b/tools/soak/scenario.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from mixed_versions.addresses import CONTROL_PORT, READY_PORT, Network
+from mixed_versions.addresses import READY_PORT, Network
 from mixed_versions.builds import Build
 from mixed_versions.core_view import ask_core
 from mixed_versions.ledger import Ledger
@@ -13,8 +13,9 @@
 from soak.checker import Violation
 from soak.clients import Clients
 from soak.cluster import SoakCluster, SoakNode
-from soak.history import History, Observation, now
+from soak.history import History, now
 from soak.http_streams import call, make_request_bytes
+from soak.observer import OBSERVE_EVERY_S, NodeObserver
 from soak.operators import Operators
 from soak.player import Player
 from soak.troubles import Schedule
@@ -23,7 +24,6 @@
 _HEAL_S = 12.0  # as the settings' heal_s: until then nothing is owed
 _CALM_S = 5.5
 _PLANNED_EXTRA_S = 1.0
-_OBSERVE_EVERY_S = 0.4
 _EMPTY_S = 6.0  # until nothing is under way any more after the clients have ended
 _MAX_DESCRIPTORS = 400
 _DRAINED_IN_CALM = 1  # the backend that drains in the calm time
@@ -64,6 +64,7 @@
                                 {node.spec.name: node.spec.host for node in self._cluster.brokers})
         self._player = Player(self._cluster, self._fleet, self._operators, self.history,
                               schedule.seed)
+        self._observer = NodeObserver(self._cluster, self.history)
         self._violations: list[Violation] = []
 
     async def run(self) -> Result:
@@ -130,7 +131,7 @@
         until = healed_at + _HEAL_S + checker.TAKE_EFFECT_S
         missing = list(self._cluster.brokers)
         while newest and missing and now() < until:
-            values = await self._metrics_of(missing[0])
+            values = await self._observer.metrics_of(missing[0])
             if values.get("saddlewing_edition", 0) >= newest.version:
                 missing.pop(0)
             else:
@@ -157,34 +158,13 @@
         self._violations += checker.check_planned_work(
             self.history, began_at, until + _PLANNED_EXTRA_S, leaving.spec.name, grace_s)
 
-    async def _metrics_of(self, node: SoakNode) -> dict[str, float]:
-        port = CONTROL_PORT if node in self._cluster.registries else READY_PORT
-        request = make_request_bytes("GET", "/metrics", {"Host": "metrics"}, b"")
-        answer = await call(node.spec.host, port, request, 0.5)
-        if answer is None or answer.status != 200:
-            return {}
-        values = {}
-        for line in answer.body.decode(errors="replace").splitlines():
-            name, _, value = line.rpartition(" ")
-            if name and not line.startswith("#"):
-                values[name] = float(value)
-        return values
-
     async def _observe(self) -> None:
-        """Notes the metrics of all nodes now and then."""
+        """Notes metrics and explanations now and then."""
         while True:
             await asyncio.gather(*(self._fetch_explanations(node)
                                    for node in self._cluster.brokers if node.is_running()))
-            for node in self._cluster.nodes:
-                if not node.is_running():
-                    continue
-                life = self._cluster.life_number(node)
-                at = now()
-                values = await self._metrics_of(node)
-                if values and self._cluster.life_number(node) == life:
-                    self.history.observations.append(
-                        Observation(node.spec.name, life, at, values))
-            await asyncio.sleep(_OBSERVE_EVERY_S)
+            await self._observer.note_metrics()
+            await asyncio.sleep(OBSERVE_EVERY_S)
 
     async def _fetch_explanations(self, node: SoakNode) -> None:
         """What the broker tells of the requests that failed at it."""
@@ -202,7 +182,7 @@
             until = now() + _EMPTY_S
             values = {}
             while now() < until:
-                values = await self._metrics_of(node)
+                values = await self._observer.metrics_of(node)
                 if values.get("saddlewing_errands") == 0 and values.get("saddlewing_visits") == 0:
                     break
                 await asyncio.sleep(0.1)
--- a/tools/soak/troubles.py
+++ b/tools/soak/troubles.py
@@ -22,6 +22,22 @@
 _AFTER_ACKNOWLEDGEMENT_SHARE = 0.3
 
 
+@dataclass(frozen=True)
+class Drawing:
+    """What schedules are drawn of.
+
+    `role_weights`: of registry, core, broker, backend, platform. `must_register`: backends register
+    themselves on every seed.
+    """
+
+    backend_kinds: tuple[str, ...]
+    role_weights: tuple[int, ...]
+    must_register: bool = False
+
+
+FRONT_DRAWING = Drawing(BACKEND_KINDS, (30, 10, 25, 30, 5))
+
+
 @dataclass(frozen=True)
 class Trouble:
     """One trouble: `at` and `for_s` in seconds from the start of the troubles."""
@@ -68,11 +84,11 @@
 
 
 def _draw_trouble(source: random.Random, at: float, registries: int, brokers: int,
-                  backends: int) -> Trouble:
+                  backends: int, drawing: Drawing) -> Trouble:
     role = source.choices(("registry", "core", "broker", "backend", "platform"),
-                          (30, 10, 25, 30, 5))[0]
+                          drawing.role_weights)[0]
     kinds, count = {"registry": (REGISTRY_KINDS, registries), "core": (CORE_KINDS, 1),
-                    "broker": (BROKER_KINDS, brokers), "backend": (BACKEND_KINDS, backends),
+                    "broker": (BROKER_KINDS, brokers), "backend": (drawing.backend_kinds, backends),
                     "platform": (PLATFORM_KINDS, 1)}[role]
     target = source.randrange(count)
     other = (target + 1 + source.randrange(max(1, registries - 1))) % registries
@@ -81,7 +97,8 @@
                    is_after_acknowledgement=source.random() < _AFTER_ACKNOWLEDGEMENT_SHARE)
 
 
-def draw_schedule(seed: int, backends: int, groups: int = _GROUPS) -> Schedule:
+def draw_schedule(seed: int, backends: int, groups: int = _GROUPS,
+                  drawing: Drawing = FRONT_DRAWING) -> Schedule:
     """The schedule of this seed; the same each time."""
     source = random.Random(seed)
     registries = source.choice((3, 3, 3, 5))
@@ -92,7 +109,7 @@
         start = group * _GROUP_EVERY_S + source.uniform(0, 1)
         for _ in range(source.choice((2, 2, 3))):
             trouble = _draw_trouble(source, start + source.uniform(0, 1.2), registries, brokers,
-                                    backends)
+                                    backends, drawing)
             # Of the registries' disks only as many are lost as the settings allow.
             if trouble.kind == "wipe" and wiped:
                 continue
@@ -101,7 +118,7 @@
     if wiped:
         troubles = [trouble for trouble in troubles if _may_stand_beside_a_wipe(trouble)]
     return Schedule(seed, registries, brokers, tuple(troubles), source.choice((3, 4, 6)),
-                    source.random() < 0.4)
+                    source.random() < 0.4 or drawing.must_register)
 
 
 def _may_stand_beside_a_wipe(trouble: Trouble) -> bool:
