Soak: databases behind poolers, with their troubles and their rules

Cause: both faults of the issue lie where the soak was blind: poolers, and databases that crash and come back under a new id, go dark, fall behind.

A checker of its own judges ONE, STALE, LOST, REFUSED and RECOVER, and its tests plant six wrong histories.

--- a/tools/checks/check_promises.py
+++ b/tools/checks/check_promises.py
@@ -5,7 +5,7 @@
 
 In each row the code exists; the invariants exist in src/state/invariants.h, and each of those
 stands in some row; each `soak:kind` is a trouble of tools/soak/troubles.py and each `check_...` one
-of the soak's checker; a row names a test, a trouble, a check, the model or the bench, or says
+of the soak's checkers; a row names a test, a trouble, a check, the model or the bench, or says
 "open". That the tests exist is checked by check_pages.py, which reads this page too. Exits with 1
 and one line for each violation.
 """
@@ -32,8 +32,8 @@
 
 
 def read_checks(root):
-    text = (root / "tools/soak/checker.py").read_text(encoding="utf-8")
-    return set(re.findall(r"^def (check_\w+)", text, re.MULTILINE))
+    texts = [path.read_text(encoding="utf-8") for path in root.glob("tools/soak/*checker.py")]
+    return {name for text in texts for name in re.findall(r"^def (check_\w+)", text, re.MULTILINE)}
 
 
 def check_row(root, cells, invariants, troubles, checks):
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -12,9 +12,10 @@
 
 from mixed_versions.builds import Build
 from soak.backends import BACKEND_COUNT
+from soak.database_scenario import DATABASE_COUNT, DatabaseScenario
 from soak.scenario import Result, Scenario
 from soak.shrink import shrink
-from soak.troubles import Schedule, draw_schedule, read_schedule
+from soak.troubles import DATABASE_DRAWING, Schedule, draw_schedule, read_schedule
 
 _RUN_LIMIT_S = 150.0
 
@@ -33,6 +34,8 @@
     parser.add_argument("--seeds", type=_parse_seeds, default=range(1, 2), metavar="A..B")
     parser.add_argument("--seed", type=int, help="one seed, in this process")
     parser.add_argument("--minutes", type=float, help="begin no further seed after so long")
+    parser.add_argument("--databases", action="store_true",
+                        help="poolers and databases in place of brokers and backends")
     parser.add_argument("--groups", type=int, default=3, help="groups of overlapping troubles")
     parser.add_argument("--replay", type=Path, help="a schedule written by --report or --shrink")
     parser.add_argument("--shrink", type=Path, help="a schedule: finds the fewest troubles")
@@ -76,6 +79,10 @@
           f"{len(history.reads)} reads; {kinds}; {_times_line(history)}; "
           f"explained: {_reasons_line(history)}; {seconds:.0f} s",
           flush=True)
+    _print_violations(result)
+
+
+def _print_violations(result: Result) -> None:
     seen = collections.Counter()
     for violation in result.violations:
         seen[violation.rule] += 1
@@ -86,14 +93,35 @@
             print(f"  {rule}: {count} in all", flush=True)
 
 
+def _print_databases(result: Result, seconds: float) -> None:
+    history = result.history
+    codes = collections.Counter(statement.code or "done" for statement in history.statements)
+    kinds = " ".join(span.kind for span in history.spans)
+    outcome = "passed" if not result.violations else f"FAILED ({len(result.violations)})"
+    sync = int(any(promotion.is_synchronous for promotion in history.promotions))
+    print(f"seed {result.schedule.seed}: {outcome}; {len(history.statements)} statements "
+          f"({', '.join(f'{count} {code}' for code, count in codes.most_common())}), sync {sync}, "
+          f"{len(history.promotions)} promotions; {kinds}; {seconds:.0f} s", flush=True)
+    _print_violations(result)
+
+
+def _draw(seed: int, options: argparse.Namespace) -> Schedule:
+    if options.databases:
+        return draw_schedule(seed, DATABASE_COUNT, options.groups, DATABASE_DRAWING)
+    return draw_schedule(seed, BACKEND_COUNT, options.groups)
+
+
 def _run(schedule: Schedule, options: argparse.Namespace) -> Result:
     began = time.monotonic()
     build = Build("soak", options.program.resolve())
+    faults = options.faults.resolve()
     with tempfile.TemporaryDirectory(prefix="soak.") as folder:
-        scenario = Scenario(schedule, build, options.faults.resolve(), Path(folder),
-                            options.max_resident_mb)
+        if options.databases:
+            scenario = DatabaseScenario(schedule, build, faults, Path(folder))
+        else:
+            scenario = Scenario(schedule, build, faults, Path(folder), options.max_resident_mb)
         result = asyncio.run(asyncio.wait_for(scenario.run(), _RUN_LIMIT_S))
-        _print(result, time.monotonic() - began)
+        (_print_databases if options.databases else _print)(result, time.monotonic() - began)
         if result.violations and options.report:
             _keep(Path(folder), result, options.report / f"seed-{schedule.seed}")
     return result
@@ -130,6 +158,8 @@
                        "--faults", str(options.faults), "--seed", str(seed),
                        "--groups", str(options.groups),
                        "--max-resident-mb", str(options.max_resident_mb)]
+            if options.databases:
+                command.append("--databases")
             if options.report:
                 command += ["--report", str(options.report)]
             running[subprocess.Popen(command, env=os.environ)] = seed
@@ -156,8 +186,7 @@
     if options.replay:
         return 1 if _run(read_schedule(options.replay.read_text()), options).violations else 0
     if options.seed is not None:
-        schedule = draw_schedule(options.seed, BACKEND_COUNT, options.groups)
-        return 1 if _run(schedule, options).violations else 0
+        return 1 if _run(_draw(options.seed, options), options).violations else 0
     return _run_apart(options.seeds, options)
 
 
--- /dev/null
+++ b/tools/soak/databases.py
@@ -0,0 +1,368 @@
+"""Stand-in databases with replicas: their logs, incarnations and troubles."""
+import asyncio
+import itertools
+import json
+import random
+from dataclasses import dataclass
+
+from mixed_versions.addresses import BACKEND_PORT, CONTROL_PORT
+from soak.database_history import DatabaseHistory, Promotion
+from soak.database_wire import WireMessage, encode, read_wire_message
+from soak.history import now
+from soak.http_streams import call, make_request_bytes
+
+HEARTBEAT_S = 0.4
+CAPACITY = 8
+EMPTY_OUT_S = 3.0
+
+_PROMOTION_TAKES_EFFECT_S = 0.1
+_PROMOTION_ANSWERED_S = 0.3
+_STEP_DOWN_AFTER_S = 1.0  # a former primary goes on so long once the new one is within its reach
+_DARK_DROP_S = 3.0  # a connection whose far end is dark is dropped after that
+_REPLICATION_S = 0.01
+_POLL_S = 0.005
+_SYNC_WAIT_S = 2.0
+_SERVES_ON_S = 1.0  # beyond the least time after it said that it empties
+
+
+@dataclass(frozen=True)
+class Commit:
+    """One entry of a log."""
+
+    term: int
+    number: int
+    thing: str
+    data: str
+
+
+class Database:
+    """One backend of a database service; its address stays, its id changes with each start."""
+
+    def __init__(self, group: "DatabaseGroup", host: str, zone: str, is_leader: bool):
+        self.group, self.host, self.zone = group, host, zone
+        self.id = group.new_id()
+        self.is_leader, self.term = is_leader, 1
+        self.log: list[Commit] = []
+        self.values: dict[str, str] = {}
+        self.is_up = self.is_dark = self.is_deaf = self.is_troubled = False
+        self.delay_s = _REPLICATION_S
+        self.state = "ready"
+        self._calls = 0
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+        self._heartbeats: asyncio.Task | None = None
+        self._has_news = asyncio.Event()
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether others on the network reach it."""
+        return self.is_up and not self.is_dark
+
+    def position(self) -> str:
+        """Of its log, TERM.NUMBER."""
+        return f"{self.log[-1].term}.{self.log[-1].number}" if self.log else f"{self.term}.0"
+
+    def take_log(self, log: list[Commit]) -> None:
+        """Replaces the log; commits that are not in the new one are cut back."""
+        self.log = list(log)
+        self.values = {commit.thing: commit.data for commit in self.log}
+
+    def follow_log(self, log: list[Commit]) -> None:
+        """Takes what a primary's log has beyond this one."""
+        if self.log != log[:len(self.log)]:
+            self.take_log(log)
+        for commit in log[len(self.log):]:
+            self.log.append(commit)
+            self.values[commit.thing] = commit.data
+
+    async def start(self) -> None:
+        """Begins to serve and to send heartbeats."""
+        self.is_up = True
+        self.state = "ready"
+        self._server = await asyncio.start_server(self._serve, self.host, BACKEND_PORT)
+        self._heartbeats = asyncio.create_task(self._send_heartbeats())
+
+    def end(self) -> None:
+        """Ends at once; its log stays."""
+        self.is_up = False
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
+        if self._server is not None:
+            self._server.close()
+        self._abort_connections()
+
+    def begin_anew(self) -> None:
+        """The next start is a new incarnation."""
+        self.id = self.group.new_id()
+        self._calls = 0
+
+    def come_back(self) -> None:
+        """It is within reach again; what stood open is dropped."""
+        self.is_dark = False
+        self._abort_connections()
+
+    def change_role(self, is_leader: bool, term: int) -> None:
+        """It leads or follows in this term; a change is told at once."""
+        self.is_leader, self.term = is_leader, term
+        self._has_news.set()
+
+    async def say_gone(self) -> None:
+        """Cancels its registration."""
+        await self._call_registries("DELETE", b"")
+
+    def say_emptying(self) -> None:
+        """A planned end is near."""
+        self.state = "emptying"
+        self._has_news.set()
+
+    def _abort_connections(self) -> None:
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            while self.is_dark:
+                await asyncio.sleep(_POLL_S)
+            self._has_news.clear()
+            self._calls += 1
+            body = json.dumps({
+                "service": self.group.service, "address": f"{self.host}:{BACKEND_PORT}",
+                "zone": self.zone, "version": "v1", "capacity": CAPACITY, "state": self.state,
+                "warm_left_ms": 0, "call_count": self._calls,
+                "store_role": "leader" if self.is_leader else "copy"}).encode()
+            await self._call_registries("PUT", body)
+            try:
+                await asyncio.wait_for(self._has_news.wait(), HEARTBEAT_S)
+            except TimeoutError:
+                pass
+
+    async def _call_registries(self, method: str, body: bytes) -> None:
+        """One call after the other until one is acknowledged."""
+        fields = {"Host": "registry", "Content-Type": "application/json"}
+        request = make_request_bytes(method, f"/backends/{self.id}", fields, body)
+        hosts = list(self.group.registry_hosts)
+        self.group.random.shuffle(hosts)
+        for host in hosts:
+            answer = await call(host, CONTROL_PORT, request, 1.0)
+            if answer is not None and answer.status == 200:
+                return
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            greeting = await read_wire_message(reader)
+            if await self._is_dropped():
+                return
+            expected = greeting.fields[2:3] or ("",)
+            if greeting.fields[0] != self.group.service or expected[0] not in ("", self.id):
+                writer.write(encode("E", "WRONGHOST", self.id))
+                return
+            writer.write(encode("Z", "I", self.position()))
+            while True:
+                message = await read_wire_message(reader)
+                if message.kind != "Q":
+                    return
+                answer = await self._answer(message)
+                if await self._is_dropped():
+                    return
+                writer.write(answer + encode("Z", "I", self.position()))
+        except (OSError, asyncio.IncompleteReadError, ValueError, IndexError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _is_dropped(self) -> bool:
+        if self.is_dark:
+            await asyncio.sleep(_DARK_DROP_S)
+        return self.is_dark
+
+    def _has_position(self, wanted: str) -> bool:
+        term, _, number = wanted.partition(".")
+        if int(number) == 0:
+            return True
+        at = int(number) - 1
+        return at < len(self.log) and self.log[at].term == int(term)
+
+    async def _answer(self, message: WireMessage) -> bytes:
+        text = message.fields[1]
+        word, _, rest = text.partition(" ")
+        if word == "AFTER":
+            wanted, _, text = rest.partition(" ")
+            if not self._has_position(wanted):
+                return encode("E", "LAGGING", self.id)
+            word, _, rest = text.partition(" ")
+        if word == "STEPDOWN" and self.is_leader and int(rest) > self.term:
+            self.change_role(False, int(rest))
+        if word in ("STATUS", "STEPDOWN"):
+            role = "leader" if self.is_leader else "copy"
+            row = f"{role} {self.term} {self.position()} 0 0 1 {len(self._writers)}"
+            return encode("D", row) + encode("C", "-")
+        if word == "READ":
+            return encode("D", self.values.get(rest, "-")) + encode("C", self._stamp())
+        if word == "WRITE":
+            if not self.is_leader:
+                return encode("E", "READONLY", self.id)
+            thing, _, data = rest.partition(" ")
+            return await self._commit(thing, data)
+        return encode("C", "-")
+
+    def _stamp(self) -> str:
+        return self.group.new_stamp(self.term)
+
+    async def _commit(self, thing: str, data: str) -> bytes:
+        commit = Commit(self.term, len(self.log) + 1, thing, data)
+        stamp = self._stamp()
+        self.log.append(commit)
+        self.values[thing] = data
+        until = now() + _SYNC_WAIT_S
+        while self.group.is_synchronous and not self.group.is_received(commit, self):
+            if now() > until or not self.is_leader:
+                return encode("E", "TIMEOUT", self.id)
+            await asyncio.sleep(_POLL_S)
+        return encode("C", stamp)
+
+
+class DatabaseGroup:
+    """The backends of one service, the way of the log between them, and its promotions."""
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, service: str, places: list[tuple[str, str]], is_synchronous: bool,
+                 registry_hosts: tuple[str, ...], history: DatabaseHistory, seed: int):
+        self.service, self.is_synchronous = service, is_synchronous
+        self.registry_hosts = registry_hosts
+        self.random = random.Random(f"{seed} {service}")
+        self._history = history
+        self.members = [Database(self, host, zone, at == 0)
+                        for at, (host, zone) in enumerate(places)]
+        self._tasks: list[asyncio.Task] = []
+
+    def new_id(self) -> str:
+        """The id of a new incarnation."""
+        return f"i-{next(self._numbers):06x}"
+
+    def new_stamp(self, term: int) -> str:
+        """A stamp that only one run has."""
+        stamp = f"{self.service}.{next(self._numbers):x}"
+        self._history.stamp_terms[stamp] = term
+        return stamp
+
+    async def open(self) -> None:
+        """Starts all databases."""
+        for member in self.members:
+            await member.start()
+        self._tasks = [asyncio.create_task(self._replicate(member)) for member in self.members]
+
+    def close(self) -> None:
+        """Ends all databases."""
+        for task in self._tasks:
+            task.cancel()
+        for member in self.members:
+            member.end()
+
+    def is_received(self, commit: Commit, by: Database) -> bool:
+        """Whether a replica has the commit."""
+        at = commit.number - 1
+        return any(at < len(other.log) and other.log[at] == commit
+                   for other in self.members if other is not by)
+
+    def primary(self) -> Database | None:
+        """The primary of the newest term, whether it runs or not."""
+        leaders = [member for member in self.members if member.is_leader]
+        return max(leaders, key=lambda member: member.term, default=None)
+
+    async def _replicate(self, receiver: Database) -> None:
+        """Brings the log of the newest primary in reach to one database, and ends a former lead."""
+        seen_newer_at = 0.0
+        while True:
+            await asyncio.sleep(max(_POLL_S, receiver.delay_s))
+            source = max((member for member in self.members
+                          if member.is_leader and member.is_reachable and member is not receiver),
+                         key=lambda member: member.term, default=None)
+            if source is None or not receiver.is_reachable or source.term < receiver.term or (
+                    receiver.is_leader and source.term <= receiver.term):
+                seen_newer_at = 0.0
+                continue
+            if receiver.is_leader:
+                seen_newer_at = seen_newer_at or now()
+                if now() - seen_newer_at >= _STEP_DOWN_AFTER_S:
+                    receiver.change_role(False, source.term)
+                continue
+            if receiver.is_deaf:
+                continue
+            receiver.term = source.term
+            receiver.follow_log(source.log)
+
+    async def promote(self, target: Database) -> bool:
+        """Makes a database the primary of the next term; false if it does not run."""
+        if not target.is_reachable:
+            return False
+        if target is self.primary():
+            return True
+        await asyncio.sleep(_PROMOTION_TAKES_EFFECT_S)
+        if not target.is_reachable:
+            return False
+        term = max(member.term for member in self.members) + 1
+        for other in self.members:
+            if not other.is_up:
+                other.is_leader = False  # it returns as a replica
+        target.change_role(True, term)
+        held = frozenset(target.values)
+        known = frozenset().union(*(member.values for member in self.members))
+        self._history.promotions.append(Promotion(
+            self.service, target.id, term, now(), self.is_synchronous, held, known - held))
+        await asyncio.sleep(_PROMOTION_ANSWERED_S - _PROMOTION_TAKES_EFFECT_S)
+        return True
+
+    # Troubles. One at a time at each database; the others overlap.
+
+    async def trouble(self, kind: str, target: int, for_s: float) -> None:
+        """Plays one trouble at a database, `primary_*` at whoever leads then."""
+        member = self.members[target % len(self.members)]
+        if kind.startswith("primary_"):
+            kind = kind.removeprefix("primary_")
+            member = self.primary() or member
+        if member.is_troubled or not member.is_up:
+            return
+        member.is_troubled = True
+        try:
+            await getattr(self, "_" + kind)(member, for_s)
+        finally:
+            member.is_troubled = False
+
+    async def _crash(self, member: Database, for_s: float) -> None:
+        member.end()
+        await asyncio.sleep(for_s)
+        member.begin_anew()
+        await member.start()
+
+    async def _dark(self, member: Database, for_s: float) -> None:
+        member.is_dark = True
+        await asyncio.sleep(for_s)
+        member.come_back()
+
+    async def _deaf(self, member: Database, for_s: float) -> None:
+        member.is_deaf = True
+        await asyncio.sleep(for_s)
+        member.is_deaf = False
+
+    async def _lag(self, member: Database, for_s: float) -> None:
+        member.delay_s = self.random.uniform(0.1, 0.5)
+        await asyncio.sleep(for_s)
+        member.delay_s = _REPLICATION_S
+
+    async def _release(self, member: Database, _for_s: float) -> None:
+        """A planned end; the next incarnation takes its log."""
+        member.say_emptying()
+        await asyncio.sleep(EMPTY_OUT_S + _SERVES_ON_S)
+        await member.say_gone()
+        member.end()
+        member.begin_anew()
+        await member.start()
+
+    def lose_primary(self) -> None:
+        """The primary is lost for good."""
+        primary = self.primary()
+        if primary is not None:
+            primary.end()
--- a/tools/soak/troubles.py
+++ b/tools/soak/troubles.py
@@ -15,6 +15,8 @@
 BROKER_KINDS = ("kill", "pause", "term", "cut", "reload", "bad_settings", "reset")
 BACKEND_KINDS = ("drain", "crash", "hang", "slow", "reset_midway", "close_early", "surplus",
                  "late_surplus", "garbage", "wrong_id", "lying_health", "replace")
+DATABASE_KINDS = ("crash", "dark", "deaf", "lag", "release", "primary_crash", "primary_dark",
+                  "primary_release")
 PLATFORM_KINDS = ("platform_hangs", "platform_refuses")
 
 _GROUPS = 3
@@ -36,6 +38,7 @@
 
 
 FRONT_DRAWING = Drawing(BACKEND_KINDS, (30, 10, 25, 30, 5))
+DATABASE_DRAWING = Drawing(DATABASE_KINDS, (20, 10, 15, 50, 5), must_register=True)
 
 
 @dataclass(frozen=True)
