Ask whoever says that it leads before it is adopted

Change: who says that it leads is asked for its term first, as it was already where several say so. One that does not answer for as long as an election waits for answers is adopted by its word if it alone says so, and asked again later.

--- a/src/coordination/databases/failover.cpp
+++ b/src/coordination/databases/failover.cpp
@@ -179,21 +179,18 @@
   }
 }
 
-// Nothing was ever agreed for this service: the database that says it leads is its leader. If
-// several say so, one of them missed a newer term: they are asked.
+// Nothing was ever agreed for this service: the database that says it leads is its leader, in the
+// term that it answers. One that does not answer is adopted if no other says so; it is asked again
+// later.
 void Failover::adopt_leader(const std::string& service, const EndpointPointers& endpoints,
                             TimePoint now) {
   const EndpointPointers claimants = find_claimants(endpoints);
   if (claimants.empty())
     return;
-  const DatabaseEndpoint* leader =
-      claimants.size() == 1 ? claimants.front() : choose_claimant(service, claimants, now);
-  if (!leader)
-    return;
-  DatabaseLeadership leadership;
-  leadership.service = service;
-  leadership.id = leader->id;
-  propose_change(std::move(leadership), service + " is led by " + leader->id);
+  const std::optional<DatabaseLeadership> chosen = choose_claimant(service, claimants, now);
+  if (chosen)
+    propose_change(*chosen, service + " is led by " + chosen->id + " in term " +
+                                (chosen->term > 0 ? std::to_string(chosen->term) : "unknown"));
 }
 
 // The newest term that is known: agreed, or as the databases answered since the last change.
--- a/src/coordination/databases/failover.h
+++ b/src/coordination/databases/failover.h
@@ -186,8 +186,9 @@
 
   // Phase led.
   void adopt_leader(const std::string& service, const EndpointPointers& endpoints, TimePoint now);
-  const DatabaseEndpoint* choose_claimant(const std::string& service,
-                                          const EndpointPointers& claimants, TimePoint now);
+  std::optional<DatabaseLeadership> choose_claimant(const std::string& service,
+                                                    const EndpointPointers& claimants,
+                                                    TimePoint now);
   void monitor_leader(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
                       TimePoint now);
   bool record_term(const DatabaseLeadership& leadership);
--- a/src/coordination/databases/failover_election.cpp
+++ b/src/coordination/databases/failover_election.cpp
@@ -73,32 +73,36 @@
   }
 }
 
-// The one that leads in the newest term, once all have answered or had the time to. Null: not known
+// The one that leads in the newest term, once all have answered or had the time to. None: not known
 // yet.
-const DatabaseEndpoint* Failover::choose_claimant(const std::string& service,
-                                                  const EndpointPointers& claimants,
-                                                  TimePoint now) {
+std::optional<DatabaseLeadership> Failover::choose_claimant(const std::string& service,
+                                                            const EndpointPointers& claimants,
+                                                            TimePoint now) {
   query_databases(service, claimants, now);
   Transition& transition = transitions_[service];
   if (transition.comparison_started_at == TimePoint{})
     transition.comparison_started_at = now;
-  const DatabaseEndpoint* leader = nullptr;
-  std::uint64_t newest_term = 0;
+  DatabaseLeadership chosen;
+  chosen.service = service;
   std::size_t answer_count = 0;
   for (const DatabaseEndpoint* claimant : claimants) {
     const StatusAnswer* answer = find_answer(transition.answers, claimant->id);
     if (!answer)
       continue;
     ++answer_count;
-    if (!answer->status.is_leader || answer->status.term <= newest_term)
+    if (!answer->status.is_leader || answer->status.term <= chosen.term)
       continue;
-    leader = claimant;
-    newest_term = answer->status.term;
+    chosen.id = claimant->id;
+    chosen.term = answer->status.term;
   }
   const bool is_decided = answer_count == claimants.size() ||
                           now - transition.comparison_started_at >=
                               options_.status_retry_interval * answer_wait_intervals;
-  return is_decided ? leader : nullptr;
+  if (!is_decided)
+    return std::nullopt;
+  if (answer_count == 0 && claimants.size() == 1)
+    chosen.id = claimants.front()->id;
+  return chosen.id.empty() ? std::nullopt : std::optional(chosen);
 }
 
 Failover::Comparison Failover::compare_replicas(const DatabaseLeadership& leadership,
--- a/tests/coordination/databases/failover_test.cpp
+++ b/tests/coordination/databases/failover_test.cpp
@@ -23,6 +23,7 @@
     bool is_leader = false;
     bool is_ready = true;
     bool is_sending_heartbeats = true;
+    bool is_answering = true;  // the registry's commands reach it
     std::uint64_t term = 1;
     std::uint64_t number = 10;   // of the last entry in its log
     std::uint64_t log_term = 1;  // of that entry
@@ -106,7 +107,7 @@
       return failover->finish_command(command.token, std::nullopt, now);
     Database& database = at(command.id);
     std::optional<DatabaseStatus> status;
-    if (database.is_up) {
+    if (database.is_up && database.is_answering) {
       if (command.text.starts_with("STEPDOWN ") &&
           std::stoull(command.text.substr(9)) > database.term) {
         database.is_leader = false;
@@ -406,6 +407,15 @@
   cr_expect(world.promotions == 0);
 }
 
+Test(failover, a_leader_that_is_not_within_reach_is_adopted_by_its_word) {
+  World world;
+  world.at("a").is_answering = false;
+  cr_expect(world.run_until([&] { return world.is_led_by("a"); }));
+  cr_expect(world.agreed.find("db")->term == 0);
+  world.at("a").is_answering = true;
+  cr_expect(world.run_until([&] { return world.agreed.find("db")->term == 1; }));
+}
+
 // Two databases say that they lead before anything was agreed: nobody was ever chosen.
 Test(failover, of_two_that_say_they_lead_the_one_in_the_newest_term_is_adopted) {
   World world;
