--- a/tools/soak/databases.py
+++ b/tools/soak/databases.py
@@ -17,6 +17,7 @@
 
 _PROMOTION_TAKES_EFFECT_S = 0.1
 _PROMOTION_ANSWERED_S = 0.3
+_PROMOTION_WAIT_S = 3.0  # until somebody should have been promoted
 _STEP_DOWN_AFTER_S = 1.0  # a former primary goes on so long once the new one is within its reach
 _DARK_DROP_S = 3.0  # a connection whose far end is dark is dropped after that
 _REPLICATION_S = 0.01
@@ -361,6 +362,20 @@
         member.begin_anew()
         await member.start()
 
+    async def _lost_twice(self, member: Database, for_s: float) -> None:
+        """It goes dark; whoever is promoted meanwhile crashes, then it is within reach again."""
+        member.is_dark = True
+        until = now() + _PROMOTION_WAIT_S
+        while self.primary() is member and now() < until:
+            await asyncio.sleep(_POLL_S)
+        await asyncio.sleep(self.random.uniform(0.3, 1.5))
+        crashed = self.primary()
+        crash = self.trouble("crash", self.members.index(crashed), for_s + _PROMOTION_WAIT_S)
+        crashing = asyncio.create_task(crash)
+        await asyncio.sleep(self.random.uniform(0.0, 1.0))
+        member.come_back()
+        await crashing
+
     def lose_primary(self) -> None:
         """The primary is lost for good."""
         primary = self.primary()
--- a/tools/soak/troubles.py
+++ b/tools/soak/troubles.py
@@ -16,7 +16,7 @@
 BACKEND_KINDS = ("drain", "crash", "hang", "slow", "reset_midway", "close_early", "surplus",
                  "late_surplus", "garbage", "wrong_id", "lying_health", "replace")
 DATABASE_KINDS = ("crash", "dark", "deaf", "lag", "release", "primary_crash", "primary_dark",
-                  "primary_release")
+                  "primary_release", "primary_lost_twice")
 PLATFORM_KINDS = ("platform_hangs", "platform_refuses")
 
 _GROUPS = 3
