Rename the contexts of sessions and pools, and the calls of log samples

Cause: ground, note, tell and take are words of an earlier house style. Change: SessionContext& context_, DatabaseConnectionPool::Callbacks, and of LogPositionSamples record, encode and merge.

--- a/src/coordination/databases/connection_pool.cpp
+++ b/src/coordination/databases/connection_pool.cpp
@@ -37,7 +37,7 @@
   auto fresh = std::make_unique<DatabaseConnection>(*this, backend);
   DatabaseConnection& connection = *fresh;
   row.connections.push_back(std::move(fresh));
-  auto link = ground_.open(connection);
+  auto link = callbacks_.open(connection);
   if (!link)
     return connection.take_end();
   connection.open(std::move(link), now);
@@ -64,7 +64,7 @@
   }
   ConnectionWaiter* next = row.seekers.front();
   row.seekers.pop_front();
-  next->on_connection(connection, ground_.clock());
+  next->on_connection(connection, callbacks_.clock());
 }
 
 void DatabaseConnectionPool::on_connection_broken(DatabaseConnection& connection,
@@ -77,10 +77,10 @@
                                      [&](const auto& kept) { return kept.get() == &connection; });
   if (position == row.connections.end())
     return;
-  ground_.defer_delete(std::move(*position));
+  callbacks_.defer_delete(std::move(*position));
   row.connections.erase(position);
   if (why != StatementError::none && why != StatementError::full)
-    ground_.see_answer(connection.backend(), false);
+    callbacks_.see_answer(connection.backend(), false);
   if (row.seekers.empty())
     return;
   // Others at work there will come free; with none left, nobody waits for what is not to be had.
@@ -89,7 +89,7 @@
       [](const auto& kept) { return kept->state() != DatabaseConnection::State::broken; });
   if (has_others && (why == StatementError::full || why == StatementError::none))
     return;
-  const TimePoint now = ground_.clock();
+  const TimePoint now = callbacks_.clock();
   std::deque<ConnectionWaiter*> seekers;
   seekers.swap(row.seekers);
   Backend& backend = connection.backend();
--- a/src/coordination/databases/connection_pool.h
+++ b/src/coordination/databases/connection_pool.h
@@ -24,7 +24,7 @@
 // rests while somebody waits for it.
 class DatabaseConnectionPool final : public DatabaseConnection::Owner {
  public:
-  struct Ground {
+  struct Callbacks {
     std::function<std::unique_ptr<DatabaseConnectionLink>(DatabaseConnection&)>
         open;  // null: no connection could be begun
     std::function<void(Backend&, const LogPosition&, TimePoint)> record_log_position;
@@ -32,7 +32,7 @@
     std::function<TimePoint()> clock;
     std::function<void(std::unique_ptr<DatabaseConnection>)> defer_delete;  // freed between rounds
   };
-  explicit DatabaseConnectionPool(Ground ground) : ground_(std::move(ground)) {
+  explicit DatabaseConnectionPool(Callbacks callbacks) : callbacks_(std::move(callbacks)) {
   }
 
   // The seeker is called at once, or later, or never if it stops seeking.
@@ -49,10 +49,10 @@
   void on_connection_ready(DatabaseConnection& connection) override;
   void on_connection_broken(DatabaseConnection& connection, StatementError why) override;
   void on_log_position(Backend& backend, const LogPosition& position, TimePoint asked) override {
-    ground_.record_log_position(backend, position, asked);
+    callbacks_.record_log_position(backend, position, asked);
   }
   void on_answer(Backend& backend, bool is_fine) override {
-    ground_.see_answer(backend, is_fine);
+    callbacks_.see_answer(backend, is_fine);
   }
 
  private:
@@ -62,7 +62,7 @@
     int limit = 1;
   };
   void open_connection(Row& row, const BackendPointer& backend, TimePoint now);
-  Ground ground_;
+  Callbacks callbacks_;
   std::unordered_map<const Backend*, Row> rows_;
 };
 
--- a/src/coordination/databases/database_session.cpp
+++ b/src/coordination/databases/database_session.cpp
@@ -34,38 +34,39 @@
   rows += encode_database_message(DatabaseMessageKind::complete, {stamp});
   rows +=
       encode_database_message(DatabaseMessageKind::ready, {std::string_view(&state, 1), position});
-  ground_.say(*this, std::move(rows));
+  context_.say(*this, std::move(rows));
 }
 
 void Session::say_error(StatementError verdict, const std::string& text, char state) {
-  ground_.say(*this, encode_database_message(DatabaseMessageKind::error, {name_of(verdict), text}) +
-                         encode_database_message(DatabaseMessageKind::ready,
-                                                 {std::string_view(&state, 1), "-"}));
+  context_.say(
+      *this,
+      encode_database_message(DatabaseMessageKind::error, {name_of(verdict), text}) +
+          encode_database_message(DatabaseMessageKind::ready, {std::string_view(&state, 1), "-"}));
 }
 
 void Session::take_wrong(StatementError verdict) {
-  ground_.say(*this, encode_database_message(DatabaseMessageKind::error,
-                                             {name_of(verdict), "not in the protocol"}));
+  context_.say(*this, encode_database_message(DatabaseMessageKind::error,
+                                              {name_of(verdict), "not in the protocol"}));
   leave(Clock::now());
-  ground_.close(*this);
+  context_.close(*this);
 }
 
 void Session::greet(DatabaseMessage&& message) {
   if (message.kind != DatabaseMessageKind::connect || message.fields.size() < 2)
     return take_wrong(StatementError::malformed);
-  const ConfigurationSnapshot& configuration = ground_.configuration();
+  const ConfigurationSnapshot& configuration = context_.configuration();
   const bool is_known = configuration && configuration->match_database(message.field(0));
   if (!is_known) {
     const StatementError verdict =
         configuration ? StatementError::no_database : StatementError::busy;
-    ground_.say(*this, encode_database_message(DatabaseMessageKind::error,
-                                               {name_of(verdict), "no such database"}));
+    context_.say(*this, encode_database_message(DatabaseMessageKind::error,
+                                                {name_of(verdict), "no such database"}));
     state_ = State::closing;
-    return ground_.close(*this);
+    return context_.close(*this);
   }
   database_ = message.field(0);
   state_ = State::idle;
-  ground_.say(*this, encode_database_message(DatabaseMessageKind::ready, {"I", "-"}));
+  context_.say(*this, encode_database_message(DatabaseMessageKind::ready, {"I", "-"}));
 }
 
 void Session::take(DatabaseMessage&& message, TimePoint now) {
@@ -73,7 +74,7 @@
     return;
   if (message.kind == DatabaseMessageKind::terminate) {
     leave(now);
-    return ground_.close(*this);
+    return context_.close(*this);
   }
   if (state_ == State::greeting)
     return greet(std::move(message));
@@ -83,12 +84,12 @@
 }
 
 void Session::adopt(const Route& route) {
-  const Configuration& configuration = *ground_.configuration();
+  const Configuration& configuration = *context_.configuration();
   const Service& service = configuration.services[route.shares[0].service.value];
   route_ = route;
   service_ = service.name;
   change_rest_ = configuration.limits.change_rest;
-  max_connections_ = ground_.max_connections(service);
+  max_connections_ = context_.max_connections(service);
 }
 
 bool Session::take_own(const Statement& statement, TimePoint now) {
@@ -114,7 +115,7 @@
     case StatementVerb::begin_read_only: {
       if (has_change_)
         return say_error(StatementError::malformed, "in a transaction already", state), true;
-      const Route* route = ground_.configuration()->match_database(database_);
+      const Route* route = context_.configuration()->match_database(database_);
       if (!route)
         return say_error(StatementError::no_database, "no such database any more", 'I'), true;
       has_change_ = true;
@@ -181,7 +182,7 @@
     writes = prepared_->is_write;
   }
   if (!has_change_) {
-    const Route* route = ground_.configuration()->match_database(database_);
+    const Route* route = context_.configuration()->match_database(database_);
     if (!route)
       return say_error(StatementError::no_database, "no such database any more", 'I');
     adopt(*route);
@@ -192,7 +193,7 @@
   max_tries_ = std::max(2, route_.tries);
   began_ = now;
   deadline_ = now + route_.give_up;
-  ground_.set_due(*this, deadline_);
+  context_.set_due(*this, deadline_);
   proceed(now);
 }
 
@@ -201,15 +202,15 @@
     return prepare(now);
   state_ = State::seeking;
   const DatabaseChoice choice =
-      ground_.choose(*this, service_, route_, !is_read_only_, began_, now);
+      context_.choose(*this, service_, route_, !is_read_only_, began_, now);
   if (!choice.backend) {
-    if (!ground_.may_wait(*this))
+    if (!context_.may_wait(*this))
       finish_failed(StatementError::busy, "too many wait", now);
     return;
   }
   is_lead_ = choice.is_lead;
   after_ = choice.after;
-  ground_.pool().seek(*this, choice.backend, max_connections_, now);
+  context_.pool().seek(*this, choice.backend, max_connections_, now);
 }
 
 void Session::on_connection(DatabaseConnection& connection, TimePoint now) {
@@ -219,12 +220,12 @@
 }
 
 void Session::on_no_connection(Backend& backend, StatementError why, TimePoint now) {
-  ground_.see_refusal(backend, why, now);
+  context_.see_refusal(backend, why, now);
   ++tries_;
   if (may_try_again())
     return proceed(now);
   // Nothing was sent. Whoever leads next may be told at any moment.
-  if (!ground_.may_wait(*this))
+  if (!context_.may_wait(*this))
     finish_failed(StatementError::busy, "no connection", now);
 }
 
@@ -252,7 +253,7 @@
     has_begun_ = has_change_;
     return send(now);
   }
-  ground_.see_refusal(connection.backend(), verdict, now);
+  context_.see_refusal(connection.backend(), verdict, now);
   // Nothing of the statement was sent. What the connection carries is in doubt unless the answer
   // was a plain refusal.
   if (!is_not_run(verdict))
@@ -291,7 +292,7 @@
     return lose_response(now);
   }
   if (outcome.verdict != StatementError::none) {
-    ground_.see_refusal(connection.backend(), outcome.verdict, now);
+    context_.see_refusal(connection.backend(), outcome.verdict, now);
     if (has_change_) {
       drop_connection(now);
       return finish_failed(outcome.verdict, outcome.text, now);
--- a/src/coordination/databases/database_session.h
+++ b/src/coordination/databases/database_session.h
@@ -55,7 +55,7 @@
     failed,
     closing
   };
-  explicit Session(SessionContext& ground) : ground_(ground) {
+  explicit Session(SessionContext& context) : context_(context) {
   }
   ~Session() override;
 
@@ -103,7 +103,7 @@
   }
   void drop_connection(TimePoint now);
   bool has_lead(TimePoint now) const {
-    return !is_lead_ || !connection_ || ground_.holds_leadership(connection_->backend(), now);
+    return !is_lead_ || !connection_ || context_.holds_leadership(connection_->backend(), now);
   }
   void lose_response(TimePoint now);
   void say_done(const std::string& stamp, char state, const std::string& position,
@@ -113,7 +113,7 @@
   void end_change(TimePoint now);
   void settle(TimePoint now);
 
-  SessionContext& ground_;
+  SessionContext& context_;
   State state_ = State::greeting;
   std::string database_;
   Values values_;
--- a/src/coordination/databases/database_session_end.cpp
+++ b/src/coordination/databases/database_session_end.cpp
@@ -18,7 +18,7 @@
 
 void Session::drop_connection(TimePoint now) {
   if (state_ == State::seeking)
-    ground_.pool().stop_seeking(*this);
+    context_.pool().stop_seeking(*this);
   if (DatabaseConnection* connection = std::exchange(connection_, nullptr))
     connection->release(now);
 }
@@ -26,7 +26,7 @@
 void Session::finish_failed(StatementError verdict, const std::string& text, TimePoint now) {
   if (verdict == StatementError::unknown)
     metrics().add(Metric::unknown_responses);
-  ground_.stop_waiting(*this);
+  context_.stop_waiting(*this);
   drop_connection(now);
   const bool is_over = !has_change_ || verb_ == StatementVerb::commit;
   if (is_over)
@@ -45,8 +45,8 @@
 
 // Between statements only a resting transaction has a moment to end at.
 void Session::settle(TimePoint now) {
-  ground_.set_due(*this,
-                  has_change_ && state_ == State::resting ? now + change_rest_ : TimePoint::max());
+  context_.set_due(*this,
+                   has_change_ && state_ == State::resting ? now + change_rest_ : TimePoint::max());
 }
 
 void Session::on_due(TimePoint now) {
@@ -75,8 +75,8 @@
 void Session::leave(TimePoint now) {
   if (state_ == State::closing)
     return;
-  ground_.stop_waiting(*this);
-  ground_.set_due(*this, TimePoint::max());
+  context_.stop_waiting(*this);
+  context_.set_due(*this, TimePoint::max());
   drop_connection(now);
   state_ = State::closing;
 }
--- a/src/coordination/databases/log_position_samples.h
+++ b/src/coordination/databases/log_position_samples.h
@@ -15,8 +15,8 @@
 class LogPositionSamples {
  public:
   // `asked`: before the leader answered, so that everything acknowledged by then is in the place.
-  void note(const std::string& service, std::uint64_t number, const LogPosition& position,
-            TimePoint asked) {
+  void record(const std::string& service, std::uint64_t number, const LogPosition& position,
+              TimePoint asked) {
     Row& row = rows_[service];
     if (number < row.number)
       return;  // of an earlier lead
@@ -45,7 +45,7 @@
   }
   // The newest of each, younger than `oldest`: as a frame carries them, with ages instead of
   // moments.
-  std::string tell(TimePoint now, Duration oldest) const {
+  std::string encode(TimePoint now, Duration oldest) const {
     Writer writer;
     for (const auto& [service, row] : rows_) {
       if (row.seen.empty() || now - row.seen.back().asked > oldest)
@@ -61,7 +61,7 @@
     return writer.take();
   }
   // `built`: a moment not after the one at which the ages were counted.
-  bool take(const std::string& bytes, TimePoint built) {
+  bool merge(const std::string& bytes, TimePoint built) {
     ByteReader reader(bytes);
     while (reader.is_good() && !reader.is_complete()) {
       const std::string service = reader.text();
@@ -71,7 +71,7 @@
       position.number = reader.number();
       const std::uint64_t age = reader.number();
       if (reader.is_good() && age < 60000)
-        note(service, number, position, built - Duration(static_cast<std::int64_t>(age) + 1));
+        record(service, number, position, built - Duration(static_cast<std::int64_t>(age) + 1));
     }
     return reader.is_good();
   }
--- a/src/pooler/pooler_leadership.cpp
+++ b/src/pooler/pooler_leadership.cpp
@@ -129,7 +129,7 @@
     if (failing > fine && now - failing < recent_contact)
       set_bit(evidence.failing, position);
   }
-  evidence.samples = own_samples_.tell(now, max_sample_age);
+  evidence.samples = own_samples_.encode(now, max_sample_age);
   evidence.built = now;
   metrics().set(Metric::client_connections, static_cast<std::int64_t>(clients_.size()));
   metrics().set(Metric::database_connections, static_cast<std::int64_t>(pool_.count()));
--- a/src/pooler/pooler_loop.cpp
+++ b/src/pooler/pooler_loop.cpp
@@ -77,8 +77,8 @@
                const DatabaseLeadership* lead = leaderships_->find(backend.service);
                if (!lead || !holds_leadership(backend, Clock::now()))
                  return;
-               samples_.note(backend.service, lead->number, position, asked);
-               own_samples_.note(backend.service, lead->number, position, asked);
+               samples_.record(backend.service, lead->number, position, asked);
+               own_samples_.record(backend.service, lead->number, position, asked);
                has_news_ = true;
              },
              [this](Backend& backend, bool is_fine) {
@@ -141,7 +141,7 @@
     if (!views.empty())
       take_view(std::move(views.back()), now);
     for (const SampleUpdate& news : samples_in_.take())
-      samples_.take(news.samples, news.built);
+      samples_.merge(news.samples, news.built);
     for (LeadershipUpdate& news : leases_.take())
       handle_leadership_lease(std::move(news), now);
     timers_.run(now);
--- a/src/registry/failover_service.cpp
+++ b/src/registry/failover_service.cpp
@@ -56,11 +56,11 @@
 // the heartbeat left here.
 void FailoverService::record_samples(const SubscribeRequest& request, TimePoint echoed_at) {
   const TimePoint built_at = echoed_at + bounded_span(request.echo_delay);
-  samples_.take(request.samples, built_at - bounded_span(request.samples_age));
+  samples_.merge(request.samples, built_at - bounded_span(request.samples_age));
 }
 
 std::string FailoverService::encode_samples(TimePoint now) const {
-  return samples_.tell(now, max_sample_age);
+  return samples_.encode(now, max_sample_age);
 }
 
 void FailoverService::tick(TimePoint now) {
--- a/tests/coordination/databases/database_fixture.h
+++ b/tests/coordination/databases/database_fixture.h
@@ -1,5 +1,5 @@
 #pragma once
-// Stand-in databases and the ground of sessions, without sockets, disk or sleep. Faults strike at
+// Stand-in databases and the context of sessions, without sockets, disk or sleep. Faults strike at
 // numbered messages.
 #include <criterion/criterion.h>
 
@@ -163,10 +163,10 @@
   }
 };
 
-// The ground of sessions over one stand-in that leads and, if wanted, a copy.
+// The context of sessions over one stand-in that leads and, if wanted, a copy.
 class DatabaseSessionFixture final : public SessionContext {
  public:
-  DatabaseSessionFixture() : pool_(make_ground()) {
+  DatabaseSessionFixture() : pool_(make_callbacks()) {
     const std::string body =
         R"({"version":1,"services":[{"name":"db","most_connections":9}],"routes":[)"
         R"({"host":"books","path_start":"/","sort":"leader","give_up_ms":1000,"target_ms":800,"service":"db","tries":2},)"
@@ -318,7 +318,7 @@
     std::string in, out;
     bool is_cut = false;
   };
-  DatabaseConnectionPool::Ground make_ground() {
+  DatabaseConnectionPool::Callbacks make_callbacks() {
     return {
         [this](DatabaseConnection& database_connection) -> std::unique_ptr<DatabaseConnectionLink> {
           ++opened;
--- a/tests/protocol/carried_format_test.cpp
+++ b/tests/protocol/carried_format_test.cpp
@@ -186,13 +186,13 @@
 Test(carried_format, log_positions) {
   const TimePoint now{3600s};
   LogPositionSamples samples;
-  samples.note("orders", 641, {642, 643}, now - 300ms);
-  samples.note("users", 644, {645, 646}, now - 50ms);
-  expect_fixture(carried("log_positions_full"), samples.tell(now, 10s));
-  expect_fixture(carried("log_positions_empty"), LogPositionSamples{}.tell(now, 10s));
+  samples.record("orders", 641, {642, 643}, now - 300ms);
+  samples.record("users", 644, {645, 646}, now - 50ms);
+  expect_fixture(carried("log_positions_full"), samples.encode(now, 10s));
+  expect_fixture(carried("log_positions_empty"), LogPositionSamples{}.encode(now, 10s));
   const std::string bytes = read_fixture(carried("log_positions_full"));
   LogPositionSamples read;
-  cr_assert(read.take(bytes, now));
+  cr_assert(read.merge(bytes, now));
   const LogPosition place_of_orders{642, 643}, place_of_users{645, 646};
   cr_expect(read.find("orders", 641, now - 301ms) == place_of_orders &&
             !read.find("orders", 641, now - 300ms).is_known());
@@ -200,7 +200,7 @@
             !read.find("users", 644, now - 50ms).is_known());
   const auto decodes = [&](const std::string& some) {
     LogPositionSamples taken;
-    return taken.take(some, now);
+    return taken.merge(some, now);
   };
   expect_prefixes_refused("log_positions_full", bytes, decodes, {0, 8 + 6 + 32});
   decode_random_bytes({}, bytes, decodes);
