--- a/tools/soak/database_scenario.py
+++ b/tools/soak/database_scenario.py
@@ -4,7 +4,7 @@
 import random
 from pathlib import Path
 
-from mixed_versions.addresses import (CONTROL_PORT, PLATFORM_PORT, READY_PORT, Network)
+from mixed_versions.addresses import CONTROL_PORT, PLATFORM_PORT, Network
 from mixed_versions.builds import Build
 from mixed_versions.node import NodeKind
 from soak import database_checker as checker
@@ -16,6 +16,7 @@
 from soak.http_streams import call, make_answer_bytes, make_request_bytes, read_message
 from soak.observer import NodeObserver
 from soak.player import Player
+from soak.readiness import wait_ready
 from soak.scenario import Result
 from soak.troubles import Schedule
 
@@ -207,14 +208,5 @@
             self._violations += checker.check_served(self.history, database, since, now())
 
     async def _wait_ready(self, limit_s: float) -> None:
-        probe = make_request_bytes("GET", "/readiness", {"Host": "ready"}, b"")
-        until = now() + limit_s
-        missing = list(self._cluster.brokers)
-        while missing and now() < until:
-            answer = await call(missing[0].spec.host, READY_PORT, probe, 0.5)
-            if answer is not None and answer.status == 200:
-                missing.pop(0)
-            else:
-                await asyncio.sleep(0.1)
-        for node in missing:
+        for node in await wait_ready(self._cluster.brokers, limit_s):
             self.history.problems.append(f"{node.spec.name} was not ready within {limit_s} s")
--- a/tools/soak/scenario.py
+++ b/tools/soak/scenario.py
@@ -18,6 +18,7 @@
 from soak.observer import OBSERVE_EVERY_S, NodeObserver
 from soak.operators import Operators
 from soak.player import Player
+from soak.readiness import wait_ready
 from soak.troubles import Schedule
 
 _FOUND_S = 20.0
@@ -102,16 +103,7 @@
 
     async def _wait_ready(self, what: str, limit_s: float) -> None:
         """Until every broker calls itself ready."""
-        probe = make_request_bytes("GET", "/readiness", {"Host": "ready"}, b"")
-        until = now() + limit_s
-        missing = list(self._cluster.brokers)
-        while missing and now() < until:
-            answer = await call(missing[0].spec.host, READY_PORT, probe, 0.5)
-            if answer is not None and answer.status == 200:
-                missing.pop(0)
-            else:
-                await asyncio.sleep(0.1)
-        for node in missing:
+        for node in await wait_ready(self._cluster.brokers, limit_s):
             self.history.problems.append(f"{node.spec.name} was not {what} within {limit_s} s")
 
     async def _calm_time(self) -> None:
