--- a/src/coordination/databases/failover.h
+++ b/src/coordination/databases/failover.h
@@ -210,8 +210,8 @@
                        TimePoint now);
   Comparison compare_replicas(const DatabaseLeadership& leadership,
                               const EndpointPointers& endpoints, int sync) const;
-  bool must_catch_up(const Comparison& comparison, const StatusAnswer* former, int sync,
-                     Duration waited, TimePoint now) const;
+  static bool must_catch_up(const Comparison& comparison, const StatusAnswer* former, int sync,
+                            Duration waited, TimePoint now);
   bool is_elected(const DatabaseLeadership& leadership, const Comparison& comparison,
                   const StatusAnswer* former, int sync, Duration waited) const;
   bool has_former_leader_returned(const DatabaseLeadership& leadership, const StatusAnswer* former,
--- a/src/coordination/databases/failover_election.cpp
+++ b/src/coordination/databases/failover_election.cpp
@@ -147,7 +147,7 @@
 // `former`: the answer of the former leader; null: there is none. `waited`: since the comparison
 // began.
 bool Failover::must_catch_up(const Comparison& comparison, const StatusAnswer* former, int sync,
-                             Duration waited, TimePoint now) const {
+                             Duration waited, TimePoint now) {
   if (!former || comparison.best_status.position >= former->status.position)
     return false;
   const bool is_reachable = elapsed(former->received_at, now) <= max_answer_age;
--- a/src/coordination/discovery/service_registry.cpp
+++ b/src/coordination/discovery/service_registry.cpp
@@ -72,12 +72,12 @@
     if (missed < listings_until_gone)
       continue;
     missed_listings_.erase(id);
-    end(leased, now);
+    mark_gone(leased, now);
     set_status(leased, EndpointStatus::out_of_service);
   }
 }
 
-void ServiceRegistry::end(LeasedEndpoint& leased, TimePoint now) {
+void ServiceRegistry::mark_gone(LeasedEndpoint& leased, TimePoint now) {
   leased.endpoint.phase = EndpointPhase::gone;
   leased.gone_at = now;
 }
@@ -212,7 +212,7 @@
     if (last == last_renewals.end() || last->second <= leased.lease_until)
       continue;
     ++superseded_count_;
-    end(leased, now);
+    mark_gone(leased, now);
     leased.endpoint.status = EndpointStatus::out_of_service;
     mark_changed(leased);
   }
--- a/src/coordination/discovery/service_registry.h
+++ b/src/coordination/discovery/service_registry.h
@@ -139,7 +139,7 @@
   void apply_tombstone(const Endpoint& entry, TimePoint now);
   void evict(LeasedEndpoint& leased);
   void end_superseded(TimePoint now);
-  void end(LeasedEndpoint& leased, TimePoint now);
+  static void mark_gone(LeasedEndpoint& leased, TimePoint now);
   void set_status(LeasedEndpoint& leased, EndpointStatus status);
 
   ServiceRegistryOptions options_;
