Soak: GONE binds the broker that passed a request on

The rule binds machines in touch.

Change: an arrival that may have come by another broker is judged where no broker was in trouble; all other arrivals are judged as before. The check is as strict wherever the trace does not excuse it: a new test plants the same arrivals with all brokers calm, with the other one stopped, and directly.

--- a/tests/soak/checker_test.py
+++ b/tests/soak/checker_test.py
@@ -99,6 +99,19 @@
             self.history.runs.append(make_run(number, began_at=START + 0.8))
         self.assertIn("GONE", self.rules())
 
+    def test_late_arrivals_by_another_broker(self):
+        """They count unless the broker that may have passed them on stood still."""
+        self.history.lives.append(Life("broker-2", START - 100))
+        for number in range(10, 15):
+            self.history.attempts.append(make_attempt(number, status=0, left_at=START + 0.2))
+            self.history.runs.append(make_run(number, began_at=START + 0.8, is_delegated=True))
+        self.assertIn("GONE", self.rules())
+        self.history.spans.append(Span("pause", ("broker-2",), START - 1, START + 0.8))
+        self.assertNotIn("GONE", self.rules())
+        for run in self.history.runs:
+            run.is_delegated = False
+        self.assertIn("GONE", self.rules())
+
     def test_kept_connections(self):
         """Kept connections cut while a sound backend had the request."""
         for number in range(10, 15):
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -92,6 +92,12 @@
                    and (span.ended_at == 0 or span.ended_at >= since) for span in history.spans)
 
 
+def _are_brokers_calm(history: History, since: float, until: float) -> bool:
+    """The same of all brokers."""
+    brokers = {life.node for life in history.lives if life.node.startswith("broker")}
+    return all(_is_broker_calm(history, broker, since, until) for broker in brokers)
+
+
 def check_gone(history: History) -> Iterator[Violation]:
     """GONE: backends don't work on, nor get anything, long after the client left."""
     runs = _runs_by_try(history)
@@ -104,7 +110,10 @@
             continue
         for run in runs[attempt.request.try_id]:
             if run.began_at > until:
-                late.append(run)
+                # Another broker may have passed it on; the rule binds the one that did.
+                if not run.is_delegated or _are_brokers_calm(
+                        history, attempt.sent_at - IN_TOUCH_S, run.began_at):
+                    late.append(run)
             elif run.is_sound and not run.is_forgotten:
                 # Work is as long for all of them, longer than the client stays and the bound.
                 lasting += 1
