Poolers: answer the statement at work after its client ended its sending

Cause: the transport took the end of a client's bytes for the end of the connection, also while a statement was at a database. The statement was waited for all the same, to use its connection again, and its answer was dropped.

Change: the end of the bytes is told apart from a broken connection, and the session decides: a statement that is at a database is answered, and the connection ends then. Broken connections end as before.

In the soak clients end their sending side behind one write in twenty, and its checker judges unanswered ones in calm times.

--- a/src/coordination/databases/database_session.cpp
+++ b/src/coordination/databases/database_session.cpp
@@ -300,7 +300,9 @@
     drop_connection(now);
     const bool may_repeat =
         is_not_run(outcome.verdict) && (outcome.verdict != StatementError::busy || is_read_only_);
-    if (may_repeat && (may_try_again() || outcome.verdict == StatementError::readonly))
+    const bool should_repeat =
+        may_try_again() || (outcome.verdict == StatementError::readonly && !has_input_ended_);
+    if (may_repeat && should_repeat)
       return proceed(now);
     return finish_failed(outcome.verdict, outcome.text, now);
   }
--- a/src/coordination/databases/database_session.h
+++ b/src/coordination/databases/database_session.h
@@ -79,6 +79,9 @@
   void proceed(TimePoint now);  // what it waited for may be there
   void on_due(TimePoint now);
   void leave(TimePoint now);  // the client is gone
+  // The client sends nothing more, and may be gone or wait. True: a statement of its is at a
+  // database; it is answered, and not sent again. False: nothing is owed.
+  bool end_input(TimePoint now);
 
   const Values& wanted_values() const override {
     return values_;
@@ -99,7 +102,7 @@
   void prepare(TimePoint now);
   void send(TimePoint now);
   bool may_try_again() const {
-    return tries_ < max_tries_;
+    return tries_ < max_tries_ && !has_input_ended_;
   }
   void drop_connection(TimePoint now);
   bool has_lead(TimePoint now) const {
@@ -131,6 +134,8 @@
   int max_connections_ = 1;
   Duration change_rest_{3000};
 
+  bool has_input_ended_ = false;  // the client sends nothing more
+
   // The statement at work.
   std::string id_, text_;
   StatementVerb verb_ = StatementVerb::none;
--- a/src/coordination/databases/database_session_end.cpp
+++ b/src/coordination/databases/database_session_end.cpp
@@ -1,10 +1,18 @@
 // How a session's statements and transactions end: failures, time-outs, and the client's leaving.
+#include <algorithm>
 #include <utility>
 
 #include "coordination/databases/database_session.h"
 #include "state/metrics.h"
 
 namespace saddlewing {
+namespace {
+
+// A client that sends nothing more may be gone: what would not last is at work for it no longer
+// than that. The rules give half a second.
+constexpr Duration max_work_after_input{400};
+
+}  // namespace
 
 // The statement may have run and its outcome is not known.
 void Session::lose_response(TimePoint now) {
@@ -58,8 +66,10 @@
   if (!is_busy())
     return;
   if (state_ == State::attempting) {
+    // Given up early, it says nothing about the database.
+    const StatementError why = now < deadline_ ? StatementError::none : StatementError::timeout;
     if (DatabaseConnection* connection = std::exchange(connection_, nullptr))
-      connection->close(StatementError::timeout);
+      connection->close(why);
     if (is_write_)
       return finish_failed(StatementError::unknown, "no outcome in time", now);
     return finish_failed(has_change_ ? StatementError::rolled_back : StatementError::timeout,
@@ -72,6 +82,15 @@
                 "not begun in time", now);
 }
 
+bool Session::end_input(TimePoint now) {
+  if (state_ != State::attempting)
+    return false;
+  has_input_ended_ = true;
+  if (!is_write_)
+    context_.set_due(*this, std::min(deadline_, now + max_work_after_input));
+  return true;
+}
+
 void Session::leave(TimePoint now) {
   if (state_ == State::closing)
     return;
--- a/src/pooler/pooler_loop.cpp
+++ b/src/pooler/pooler_loop.cpp
@@ -38,6 +38,9 @@
                                               : StatementError::malformed);
               session.leave(Clock::now());
               this->pooling.defer_delete(*this);
+            },
+            [this] {
+              return session.end_input(Clock::now());
             }}),
       session(pooling) {
   link.admit(std::move(channel));
@@ -202,8 +205,12 @@
     session.leave(Clock::now());
     return defer_delete(client);
   }
-  if (!session.is_busy())
-    client.link.resume();
+  if (session.is_busy())
+    return;
+  if (!client.link.is_peer_done())
+    return client.link.resume();
+  session.leave(Clock::now());
+  client.link.finish();
 }
 
 void PoolerLoop::close(Session& session) {
--- a/src/transport/database_transport.cpp
+++ b/src/transport/database_transport.cpp
@@ -56,12 +56,12 @@
     if (gone.is_closed)
       return end(DatabaseReadResult::incomplete);
     if (!gone.count)
-      return poller_.change(tcp_.socket(), Poller::write | (is_full_ ? 0 : Poller::read));
+      return poller_.change(tcp_.socket(), Poller::write | read_mode());
     sent_ += gone.count;
   }
   out_.clear();
   sent_ = 0;
-  poller_.change(tcp_.socket(), is_full_ ? 0 : Poller::read);
+  poller_.change(tcp_.socket(), read_mode());
   if (is_finishing_)
     end(DatabaseReadResult::incomplete);
 }
@@ -81,12 +81,34 @@
     read();
 }
 
+int DatabaseTransport::read_mode() const {
+  return is_full_ || is_peer_done_ ? 0 : Poller::read;
+}
+
+// What came before the end is told first: its answer may be what the peer waits for.
+void DatabaseTransport::handle_peer_end(bool is_in_order) {
+  if (is_in_order)
+    tell();
+  if (state_ != State::open)
+    return;
+  if (!is_in_order || !owner_.on_peer_done || !owner_.on_peer_done())
+    return end(DatabaseReadResult::incomplete);
+  is_peer_done_ = true;
+  in_.clear();
+  poller_.change(tcp_.socket(), (out_.empty() ? 0 : Poller::write) | read_mode());
+}
+
 void DatabaseTransport::read() {
+  if (is_peer_done_) {  // nothing more is to be read but that the connection broke
+    if (out_.empty())
+      end(DatabaseReadResult::incomplete);
+    return;
+  }
   static thread_local char bytes[65536];
   for (;;) {
     const Transfer got = tcp_.receive(bytes, sizeof bytes);
     if (got.is_closed)
-      return end(DatabaseReadResult::incomplete);
+      return handle_peer_end(got.is_peer_done);
     if (!got.count)
       break;
     if (is_finishing_)
@@ -127,8 +149,7 @@
   const bool is_full = in_.size() > max_ahead;
   if (is_full != is_full_) {
     is_full_ = is_full;
-    poller_.change(tcp_.socket(),
-                   (is_full_ ? 0 : Poller::read) | (out_.empty() ? 0 : Poller::write));
+    poller_.change(tcp_.socket(), read_mode() | (out_.empty() ? 0 : Poller::write));
   }
 }
 
--- a/src/transport/database_transport.h
+++ b/src/transport/database_transport.h
@@ -8,13 +8,17 @@
 
 namespace saddlewing {
 
-// Its way: Connecting -> Open -> Ended. Invariant: after Ended nothing is told any more.
+// Its way: Connecting -> Open -> Ended. Invariant: after Ended nothing is told any more. A peer
+// that ends its sending side may still wait for an answer: the owner decides whether the connection
+// stays open for that, and then ends it with `finish`. What it sent and was not told by then is
+// dropped.
 class DatabaseTransport final : public Watcher {
  public:
   struct Owner {
     std::function<bool(DatabaseMessage&&)> on_message;  // false: no more for now; `resume` goes on
     std::function<void(DatabaseReadResult)>
         on_end;  // more: the peer ended it; else what could not be read
+    std::function<bool()> on_peer_done = {};  // true: it is still to be answered; unset: never
   };
   DatabaseTransport(Poller& poller, Owner owner) : poller_(poller), owner_(std::move(owner)) {
   }
@@ -31,6 +35,9 @@
   bool is_ended() const {
     return state_ == State::ended;
   }
+  bool is_peer_done() const {  // it sends no more, and is still to be answered
+    return is_peer_done_;
+  }
   bool has_room() const {
     return out_.size() - sent_ < max_unsent;
   }
@@ -46,6 +53,8 @@
   void flush();
   void tell();
   void end(DatabaseReadResult step);
+  void handle_peer_end(bool is_in_order);
+  int read_mode() const;  // what the poller is to watch for reading
   static constexpr std::size_t max_unsent = 8u << 20,
                                max_ahead = max_database_message_bytes + 65536;
 
@@ -55,7 +64,8 @@
   State state_ = State::ended;
   std::string in_, out_;
   std::size_t sent_ = 0;
-  bool is_finishing_ = false, is_telling_ = false, is_full_ = false, is_held_ = false;
+  bool is_finishing_ = false, is_telling_ = false, is_full_ = false, is_held_ = false,
+       is_peer_done_ = false;
 };
 
 }  // namespace saddlewing
--- a/src/transport/tcp_connection.cpp
+++ b/src/transport/tcp_connection.cpp
@@ -58,7 +58,7 @@
   try {
     const int got = socket_.receiveBytes(bytes, static_cast<int>(count));
     if (got == 0)
-      return {0, true};
+      return {0, true, true};
     return {got > 0 ? static_cast<std::size_t>(got) : 0, false};
   } catch (const Poco::Exception& thrown) {
     return {0, !is_momentary(thrown.code())};
--- a/src/transport/tcp_connection.h
+++ b/src/transport/tcp_connection.h
@@ -25,7 +25,8 @@
 
 struct Transfer {
   std::size_t count = 0;
-  bool is_closed = false;  // the peer closed, or the connection broke
+  bool is_closed = false;     // the peer closed, or the connection broke
+  bool is_peer_done = false;  // closed in good order: the peer sends no more, but may still read
 };
 
 class TcpConnection {
--- a/tests/coordination/databases/database_session_test.cpp
+++ b/tests/coordination/databases/database_session_test.cpp
@@ -120,6 +120,74 @@
   cr_expect(stage.databases["leader"].log.size() == 1 && stage.opened == 1);
 }
 
+// Guards against a statement that runs and is never answered, since its client ended its sending.
+Test(session, a_statement_at_a_database_is_answered_after_the_end_of_its_clients_input) {
+  for (const bool is_in_transaction : {false, true})
+    for (const std::string text : {"WRITE a 1", "READ a"}) {
+      DatabaseSessionFixture stage;
+      DatabaseSessionFixture::Client client(stage);
+      stage.start(client);
+      stage.say(client, "WRITE first 1");
+      if (is_in_transaction) {
+        stage.say(client, "BEGIN");
+        stage.say(client, "READ first");
+      }
+      client.last_contact.clear();
+      DatabaseMessage message{DatabaseMessageKind::query, {"last", text}};
+      client.session->take(std::move(message), Clock::now());
+      cr_assert(client.session->end_input(Clock::now()));
+      stage.pump();
+      cr_expect(client.verdict().empty() &&
+                client.last().field(0) == (is_in_transaction ? "T" : "I"));
+      client.session->leave(Clock::now());
+      stage.pump();
+      const bool lasts = text == "WRITE a 1" && !is_in_transaction;
+      cr_expect(stage.databases["leader"].log.size() == (lasts ? 2 : 1));
+    }
+}
+
+Test(session, after_the_end_of_input_nothing_is_sent_again_or_begun) {
+  DatabaseSessionFixture stage;
+  DatabaseSessionFixture::Client client(stage);
+  DatabaseSessionFixture::Client waiting(stage);
+  stage.start(client);
+  stage.start(waiting);
+  cr_expect(!client.session->end_input(Clock::now()), "nothing is asked");
+  stage.say(client, "READ first");
+  stage.databases["leader"].strike_at = stage.databases["leader"].messages + 1;
+  stage.databases["leader"].injected_fault = StandIn::InjectedFault::cut_after;
+  client.last_contact.clear();
+  DatabaseMessage message{DatabaseMessageKind::query, {"last", "READ a"}};
+  client.session->take(std::move(message), Clock::now());
+  cr_assert(client.session->end_input(Clock::now()));
+  stage.say(waiting, "READ b");
+  cr_expect(client.verdict() == "UNDONE" && client.session->state() == Session::State::idle);
+  cr_expect(stage.databases["leader"].reads.size() == 3, "first, a once, b");
+  stage.has_lease = false;
+  stage.say(waiting, "WRITE c 1");
+  cr_expect(waiting.session->is_busy() && !waiting.session->end_input(Clock::now()),
+            "it has not reached a database");
+}
+
+Test(session, after_the_end_of_input_only_what_lasts_has_the_whole_time) {
+  for (const std::string text : {"WRITE a 1", "READ a"}) {
+    DatabaseSessionFixture stage;
+    DatabaseSessionFixture::Client client(stage);
+    stage.start(client);
+    stage.say(client, "READ first");
+    client.last_contact.clear();
+    const TimePoint now = Clock::now();
+    DatabaseMessage message{DatabaseMessageKind::query, {"last", text}};
+    client.session->take(std::move(message), now);
+    const TimePoint deadline = client.due;
+    cr_assert(client.session->end_input(now));
+    const bool is_write = text == "WRITE a 1";
+    cr_expect(is_write ? client.due == deadline : client.due < now + Duration(500));
+    client.session->on_due(client.due);
+    cr_expect(client.verdict() == (is_write ? "UNKNOWN" : "TIMEOUT"));
+  }
+}
+
 // Every message to the database in turn: the connection ends before it, after it, or within its
 // answer.
 Test(session, with_any_message_lost_promises_hold_and_nothing_lands_twice) {
--- a/tools/soak/database_checker.py
+++ b/tools/soak/database_checker.py
@@ -7,7 +7,11 @@
 MIN_CALM_SERVED_SHARE = 0.9
 MIN_CALM_STATEMENTS = 20
 
+MAX_UNANSWERED = 3
+
 _UNFREEZE_S = 0.3  # a write of a pooler that was troubled since is not judged
+_IN_TOUCH_S = 5.0
+_GIVE_UP_S = 3.0
 _PROMISES = frozenset(("BUSY", "UNDONE", "LAGGING", "READONLY", "WRONGHOST", "FULL"))
 
 
@@ -65,6 +69,25 @@
             yield Violation("REFUSED", f"{statement.thing} got {statement.code} and is kept")
 
 
+def check_answered(history: DatabaseHistory,
+                   kept: dict[str, frozenset[str]]) -> Iterator[Violation]:
+    """LOST: who ends its sending side behind a write gets its answer.
+
+    `kept`: as above. Judged are writes in calm times that are kept, so that they were passed on.
+    """
+    unanswered: dict[str, list[str]] = {}
+    for statement in history.statements:
+        if (statement.has_ended_sending and statement.code == "no answer"
+                and statement.thing in kept[history.services[statement.database]]
+                and history.is_calm(statement.sent_at - _IN_TOUCH_S,
+                                    statement.sent_at + _GIVE_UP_S)):
+            unanswered.setdefault(statement.pooler, []).append(statement.thing)
+    for pooler, things in unanswered.items():
+        if len(things) > MAX_UNANSWERED:
+            yield Violation("LOST", f"{pooler} passed {len(things)} writes on and closed without "
+                                    f"an answer: {things[:5]}")
+
+
 def check_served(history: DatabaseHistory, database: str, since: float,
                  until: float) -> Iterator[Violation]:
     """RECOVER, CONFIG: in a calm time nearly all statements are served."""
@@ -78,7 +101,7 @@
 
 def check_all(history: DatabaseHistory, kept: dict[str, frozenset[str]]) -> list[Violation]:
     """All checks that need nothing but the history and what is left at the end."""
-    found = list(check_refused(history, kept))
+    found = [*check_refused(history, kept), *check_answered(history, kept)]
     for check in (check_one, check_stale, check_lost, check_own_ends, check_invariants,
                   check_problems):
         found += check(history)
--- a/tools/soak/database_clients.py
+++ b/tools/soak/database_clients.py
@@ -16,6 +16,7 @@
 _PAUSE_S = (0.01, 0.08)
 _RETRY_PAUSE_S = 0.1
 _NEWEST_THINGS = 40
+_END_SENDING_SHARE = 0.05  # of writes: behind them the client ends its sending side, and waits
 
 
 class Session:
@@ -33,12 +34,14 @@
                 await self._open()
             reader, writer = self._streams
             writer.write(encode("Q", try_id, text))
+            if statement.has_ended_sending:
+                writer.write_eof()
             async with asyncio.timeout(_ANSWER_WAIT_S):
                 await self._read_answer(reader, statement)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             self.close()
             await asyncio.sleep(_RETRY_PAUSE_S)
-        if self._random.random() < self._end_early_share:
+        if statement.has_ended_sending or self._random.random() < self._end_early_share:
             self.close()
 
     async def _open(self) -> None:
@@ -108,6 +111,7 @@
         while not self._is_ending:
             number = next(self._numbers)
             statement = Statement(database, pooler, f"t{number}", True, now(), f"d{number}")
+            statement.has_ended_sending = self._random.random() < _END_SENDING_SHARE
             self._history.statements.append(statement)
             await session.ask(f"{number:016x}", f"WRITE {statement.thing} {statement.data}",
                               statement)
--- a/tools/soak/database_history.py
+++ b/tools/soak/database_history.py
@@ -18,6 +18,7 @@
     code: str = "no answer"  # empty: success
     row: str = ""  # of a read
     stamp: str = ""
+    has_ended_sending: bool = False  # the client sent nothing more behind it
 
 
 @dataclass
