A leader that moved with its disk has its own address agreed

What was seen: a registry that leads moves with its disk to another address and is elected there before anybody else leads; the agreed list of members keeps its former address for as long as it leads. Nobody who starts with that list finds it there.

Cause: the leader brings the agreed addresses up to date from what it knows of its peers, and it is no peer of its own. A test of moves passed by the luck of the draw: another member was elected first.

Change: of itself the leader takes its own address.

--- a/src/coordination/raft/raft_membership.cpp
+++ b/src/coordination/raft/raft_membership.cpp
@@ -56,9 +56,12 @@
 // than the cluster wants.
 std::vector<Member> RaftNode::target_members(TimePoint now) const {
   std::vector<Member> members = persistent_.entry->members;
-  for (Member& member : members)  // one may have moved with its disk
-    if (const ReplicationProgress* progress = progress_of(member.id))
+  for (Member& member : members) {  // one may have moved with its disk, also this one
+    if (member.id == persistent_.self)
+      member.address = options_.address;
+    else if (const ReplicationProgress* progress = progress_of(member.id))
       member.address = progress->address;
+  }
   for (const auto& [id, last_contact] : learners_) {
     const ReplicationProgress* progress = progress_of(id);
     if (!progress || !is_caught_up(*progress, now) ||
--- a/tests/coordination/raft/raft_membership_test.cpp
+++ b/tests/coordination/raft/raft_membership_test.cpp
@@ -194,6 +194,23 @@
   }
 }
 
+// Guards against a leader that is known by its former address without end: it moved with its disk,
+// and was elected before anybody had its new address agreed.
+Test(membership, a_member_that_moved_and_leads_has_its_own_address_agreed) {
+  int led_count = 0;
+  for (int moment = 0; moment < 20; ++moment) {
+    Cluster cluster(3);
+    cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+    cluster.run(Duration(moment * 35));
+    cluster.move(cluster.leader(), "10.0.0.30:7");
+    cr_assert(cluster.run_until([&] { return cluster.has_leader(); }));
+    led_count += cluster.leader() == "10.0.0.30:7";
+    cr_expect(cluster.run_until([&] { return is_member_address(cluster, "10.0.0.30:7"); }, 3000ms),
+              "moment %d", moment);
+  }
+  cr_expect(led_count > 0);
+}
+
 // Changes follow each other without a pause, and yet the members change.
 Test(membership, changes_without_a_pause_do_not_hold_up_a_replacement) {
   Cluster cluster(3);
