Failover: a database that deregistered and serves on counts as leaving

What callers would see: with sync 1, commits that only a replica has which sent DELETE first and serves on are lost if the primary crashes meanwhile (LOST); and a primary that sends DELETE first is replaced only once it has ended and statements fail.

Cause: the databases handed to the failover left out whatever was gone, so that it was neither asked nor known.

Change: they are handed over as gone. In an election one that is gone and answers counts as an emptying one does; it is not waited for longer than others are without sync, so that one that has ended holds nobody up. A leader that is gone is replaced as a planned change. Nobody that is gone is adopted or told STEPDOWN.

--- a/src/coordination/databases/failover.cpp
+++ b/src/coordination/databases/failover.cpp
@@ -30,6 +30,8 @@
     const std::vector<const DatabaseEndpoint*>& endpoints) {
   std::map<std::string, const DatabaseEndpoint*> newest;
   for (const DatabaseEndpoint* endpoint : endpoints) {
+    if (endpoint->is_gone)
+      continue;
     const DatabaseEndpoint*& known = newest[endpoint->address];
     if (!known || endpoint->last_heartbeat > known->last_heartbeat)
       known = endpoint;
@@ -238,7 +240,7 @@
   if (leadership.term == 0)
     return;
   for (const DatabaseEndpoint* endpoint : endpoints) {
-    if (endpoint->id == leadership.id || !endpoint->is_leader)
+    if (endpoint->id == leadership.id || !endpoint->is_leader || endpoint->is_gone)
       continue;
     TimePoint& last = last_step_down_[endpoint->id];
     if (last != TimePoint{} && now - last < step_down_interval)
--- a/src/coordination/databases/failover.h
+++ b/src/coordination/databases/failover.h
@@ -59,6 +59,7 @@
   std::string zone;
   bool is_leader = false;      // as it says itself
   bool is_ready = false;       // serving, not emptying
+  bool is_gone = false;        // it ended its registration, and may serve on for a while
   TimePoint last_heartbeat{};  // when it arrived
 };
 
@@ -209,7 +210,7 @@
   void query_databases(const std::string& service, const EndpointPointers& endpoints,
                        TimePoint now);
   Comparison compare_replicas(const DatabaseLeadership& leadership,
-                              const EndpointPointers& endpoints, int sync) const;
+                              const EndpointPointers& endpoints, int sync, Duration waited) const;
   static bool must_catch_up(const Comparison& comparison, const StatusAnswer* former, int sync,
                             Duration waited, TimePoint now);
   bool is_elected(const DatabaseLeadership& leadership, const Comparison& comparison,
--- a/src/coordination/databases/failover_election.cpp
+++ b/src/coordination/databases/failover_election.cpp
@@ -105,9 +105,13 @@
   return chosen.id.empty() ? std::nullopt : std::optional(chosen);
 }
 
+// `waited`: since the comparison began. One that ended its registration may serve on and alone have
+// a commit: it has the time to answer, and is not waited for longer.
 Failover::Comparison Failover::compare_replicas(const DatabaseLeadership& leadership,
-                                                const EndpointPointers& endpoints, int sync) const {
+                                                const EndpointPointers& endpoints, int sync,
+                                                Duration waited) const {
   const Transition& transition = transitions_.at(leadership.service);
+  const bool is_wait_over = waited >= options_.status_retry_interval * answer_wait_intervals;
   Comparison comparison;
   std::map<std::string, bool> has_answered;  // by address of a replica
   std::string former_address;
@@ -119,7 +123,8 @@
     if (is_former && leadership.target.empty())
       continue;
     const StatusAnswer* answer = find_answer(transition.answers, endpoint->id);
-    has_answered[endpoint->address] |= answer != nullptr;
+    if (!endpoint->is_gone || !is_wait_over)
+      has_answered[endpoint->address] |= answer != nullptr;
     if (!answer)
       continue;
     const DatabaseStatus& status = answer->status;
@@ -182,7 +187,8 @@
   const std::string& service = leadership.service;
   query_databases(service, endpoints, now);
   const StatusAnswer* former = find_answer(transition.answers, leadership.id);
-  const Comparison comparison = compare_replicas(leadership, endpoints, sync);
+  const Duration waited = elapsed(transition.comparison_started_at, now);
+  const Comparison comparison = compare_replicas(leadership, endpoints, sync, waited);
   const DatabaseStatus& best = comparison.best_status;
   // Another leads already: an earlier promotion took effect, or the former leader began anew.
   if (comparison.is_best_leading) {
@@ -192,7 +198,6 @@
   if (!leadership.is_planned && has_former_leader_returned(leadership, former, endpoints, now))
     return propose_leader(leadership, leadership.id, former->status,
                           service + " is led by " + leadership.id + " as before");
-  const Duration waited = elapsed(transition.comparison_started_at, now);
   if (!comparison.best || must_catch_up(comparison, former, sync, waited, now) ||
       !is_elected(leadership, comparison, former, sync, waited))
     return;
--- a/src/registry/failover_service.cpp
+++ b/src/registry/failover_service.cpp
@@ -113,11 +113,10 @@
 std::vector<DatabaseEndpoint> FailoverService::databases() const {
   std::vector<DatabaseEndpoint> databases;
   for (const auto& [id, leased] : backends_.endpoints()) {
-    if (leased.endpoint.phase == EndpointPhase::gone)
-      continue;
-    const bool is_ready = leased.endpoint.phase == EndpointPhase::ready;
+    const EndpointPhase phase = leased.endpoint.phase;
     databases.push_back({id, leased.endpoint.address, leased.endpoint.service, leased.endpoint.zone,
-                         leased.endpoint.is_leader, is_ready, leased.last_heartbeat});
+                         leased.endpoint.is_leader, phase == EndpointPhase::ready,
+                         phase == EndpointPhase::gone, leased.last_heartbeat});
   }
   return databases;
 }
--- a/tests/coordination/databases/failover_test.cpp
+++ b/tests/coordination/databases/failover_test.cpp
@@ -22,6 +22,7 @@
     bool is_up = true;
     bool is_leader = false;
     bool is_ready = true;
+    bool is_gone = false;  // it ended its registration
     bool is_sending_heartbeats = true;
     bool is_answering = true;  // the registry's commands reach it
     std::uint64_t term = 1;
@@ -60,6 +61,12 @@
     databases.push_back(next);
   }
 
+  // It ends its registration first, and serves on.
+  void leave(const std::string& id) {
+    at(id).is_ready = at(id).is_sending_heartbeats = false;
+    at(id).is_gone = true;
+  }
+
   // Another registry becomes the leader.
   void restart() {
     failover = std::make_unique<Failover>(options);
@@ -76,7 +83,7 @@
     std::vector<DatabaseEndpoint> endpoints;
     for (const Database& database : databases)
       endpoints.push_back({database.id, database.address, "db", "here", database.is_leader,
-                           database.is_ready, database.last_heartbeat});
+                           database.is_ready, database.is_gone, database.last_heartbeat});
     return endpoints;
   }
 
@@ -445,6 +452,39 @@
   cr_expect(world.run_until([&] { return world.is_led_by("c"); }));
 }
 
+// Commits were lost that a replica alone had received which had ended its registration and served
+// on.
+Test(failover, with_synchronous_replication_a_replica_that_deregistered_and_serves_on_is_asked) {
+  World world(1);
+  world.run_until_stable();
+  world.leave("b");
+  world.at("b").number = world.acknowledged = 30;  // c receives nothing
+  world.at("a").is_up = false;
+  world.set_failing_requests(true);
+  cr_expect(world.run_until([&] { return world.is_led_by("b"); }));
+}
+
+Test(failover, a_replica_that_deregistered_and_ended_is_not_waited_for) {
+  World world(1);
+  world.run_until_stable();
+  world.leave("b");
+  world.run(40);
+  world.at("b").is_up = false;
+  world.at("a").is_up = false;
+  world.at("c").number = world.acknowledged = 30;
+  world.set_failing_requests(true);
+  cr_expect(world.run_until([&] { return world.is_led_by("c"); }));
+}
+
+// It was replaced only once it had ended and statements failed.
+Test(failover, a_leader_that_deregistered_is_replaced_while_it_serves_on) {
+  World world;
+  world.run_until_stable();
+  world.leave("a");
+  cr_expect(world.run_until([&] { return !world.is_led_by("a") && world.promotions == 1; }));
+  cr_expect(world.at("a").is_up);
+}
+
 // While an emptying leader was waited for, it ended: the one that is left takes over.
 Test(failover, with_synchronous_replication_a_leader_that_ends_is_not_waited_for_without_end) {
   World world(1);
--- a/tools/soak/databases.py
+++ b/tools/soak/databases.py
@@ -24,6 +24,7 @@
 _POLL_S = 0.005
 _SYNC_WAIT_S = 2.0
 _SERVES_ON_S = 1.0  # beyond the least time after it said that it empties
+_CANCELS_FIRST_SHARE = 0.5  # of planned ends
 
 
 @dataclass(frozen=True)
@@ -108,7 +109,9 @@
         self._has_news.set()
 
     async def say_gone(self) -> None:
-        """Cancels its registration."""
+        """Cancels its registration; it sends no heartbeat after that."""
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
         await self._call_registries("DELETE", b"")
 
     def say_emptying(self) -> None:
@@ -234,6 +237,7 @@
         self.service, self.is_synchronous = service, is_synchronous
         self.registry_hosts = registry_hosts
         self.random = random.Random(f"{seed} {service}")
+        self._release_random = random.Random(f"{seed} {service} release")
         self._history = history
         self.members = [Database(self, host, zone, at == 0)
                         for at, (host, zone) in enumerate(places)]
@@ -354,10 +358,15 @@
         member.delay_s = _REPLICATION_S
 
     async def _release(self, member: Database, _for_s: float) -> None:
-        """A planned end; the next incarnation takes its log."""
-        member.say_emptying()
+        """A planned end; the next incarnation takes its log. Some cancel first, and serve on."""
+        cancels_first = self._release_random.random() < _CANCELS_FIRST_SHARE
+        if cancels_first:
+            await member.say_gone()
+        else:
+            member.say_emptying()
         await asyncio.sleep(EMPTY_OUT_S + _SERVES_ON_S)
-        await member.say_gone()
+        if not cancels_first:
+            await member.say_gone()
         member.end()
         member.begin_anew()
         await member.start()
