--- a/src/coordination/databases/database_connection.cpp
+++ b/src/coordination/databases/database_connection.cpp
@@ -68,7 +68,7 @@
 void DatabaseConnection::ask(const std::string& bytes, TimePoint now) {
   state_ = State::attempting;
   asked_ = now;
-  outcome_ = {};
+  result_ = {};
   expected_.push_back({Awaited::ask, {}, {}});
   if (!link_->send(bytes))
     fail(StatementError::unknown);
@@ -119,24 +119,24 @@
     case DatabaseMessageKind::row:
       if (has_ended_)
         return fail(StatementError::malformed);
-      outcome_.rows += encode_database_message(DatabaseMessageKind::row, {message.field(0)});
-      if (outcome_.rows.size() > max_rows)
+      result_.rows += encode_database_message(DatabaseMessageKind::row, {message.field(0)});
+      if (result_.rows.size() > max_rows)
         fail(StatementError::malformed);
       return;
     case DatabaseMessageKind::complete:
       if (std::exchange(has_ended_, true))
         return fail(StatementError::malformed);
-      outcome_.text = message.field(0);
+      result_.text = message.field(0);
       return;
     case DatabaseMessageKind::error:
       if (std::exchange(has_ended_, true))
         return fail(StatementError::malformed);
-      outcome_.verdict = statement_error_of(message.field(0));
-      if (outcome_.verdict == StatementError::none)
-        outcome_.verdict = StatementError::unknown;
-      outcome_.text = message.field(1);
+      result_.error = statement_error_of(message.field(0));
+      if (result_.error == StatementError::none)
+        result_.error = StatementError::unknown;
+      result_.text = message.field(1);
       if (expected_.front().what == Awaited::connect)
-        return fail(outcome_.verdict);
+        return fail(result_.error);
       return;
     case DatabaseMessageKind::ready:
       break;
@@ -149,10 +149,10 @@
   const std::string& state = message.field(0);
   if (state != "I" && state != "T" && state != "E")
     return fail(StatementError::malformed);
-  wire_state_ = outcome_.state = state[0];
-  outcome_.position = message.field(1);
+  wire_state_ = result_.state = state[0];
+  result_.position = message.field(1);
   LogPosition position;
-  if (read_log_position(outcome_.position, position))
+  if (read_log_position(result_.position, position))
     owner_.on_log_position(*backend_, position, asked_);
   Expected expected = std::move(expected_.front());
   expected_.pop_front();
@@ -162,11 +162,11 @@
 void DatabaseConnection::finish(const Expected& expected, TimePoint now) {
   if (expected.what == Awaited::ask)
     return finish_ask(now);
-  const StatementError verdict = outcome_.verdict;
-  outcome_ = {};
-  if (verdict != StatementError::none) {
+  const StatementError error = result_.error;
+  result_ = {};
+  if (error != StatementError::none) {
     if (prepared_ == StatementError::none)
-      prepared_ = verdict;
+      prepared_ = error;
   } else {
     if (expected.what == Awaited::clear)
       values_.clear(), names_.clear();
@@ -177,9 +177,9 @@
   }
   if (!expected_.empty())
     return;
-  owner_.on_answer(*backend_, verdict == StatementError::none || is_not_run(verdict));
+  owner_.on_answer(*backend_, error == StatementError::none || is_not_run(error));
   if (state_ == State::ending) {
-    if (expected.what == Awaited::undo && (verdict != StatementError::none || wire_state_ != 'I'))
+    if (expected.what == Awaited::undo && (error != StatementError::none || wire_state_ != 'I'))
       return fail(StatementError::malformed);
     return release(now);
   }
@@ -197,17 +197,16 @@
 }
 
 void DatabaseConnection::finish_ask(TimePoint now) {
-  StatementResult outcome = std::exchange(outcome_, {});
-  owner_.on_answer(*backend_,
-                   outcome.verdict == StatementError::none || is_not_run(outcome.verdict));
-  if (outcome.verdict == StatementError::no_such_statement)
+  StatementResult result = std::exchange(result_, {});
+  owner_.on_answer(*backend_, result.error == StatementError::none || is_not_run(result.error));
+  if (result.error == StatementError::no_such_statement)
     names_.clear();  // it knows less than it acknowledged
   if (state_ == State::ending || !user_) {
     state_ = State::ending;
     return release(now);
   }
   state_ = State::held;
-  user_->on_response(*this, std::move(outcome));
+  user_->on_response(*this, std::move(result));
 }
 
 }  // namespace saddlewing
--- a/src/coordination/databases/database_connection.h
+++ b/src/coordination/databases/database_connection.h
@@ -29,9 +29,9 @@
 };
 
 struct StatementResult {
-  StatementError verdict = StatementError::none;  // none: done
-  std::string text;                               // the stamp, or the error's text
-  std::string rows;                               // whole messages, as they came
+  StatementError error = StatementError::none;  // none: done
+  std::string text;                             // the stamp, or the error's text
+  std::string rows;                             // whole messages, as they came
   char state = 'I';
   std::string position;  // as READY told it
 };
@@ -41,8 +41,8 @@
  public:
   virtual ~ConnectionUser() = default;
   virtual void on_prepared(DatabaseConnection& connection,
-                           StatementError verdict) = 0;  // none: the lane is as asked
-  virtual void on_response(DatabaseConnection& connection, StatementResult outcome) = 0;
+                           StatementError error) = 0;  // none: the lane is as asked
+  virtual void on_response(DatabaseConnection& connection, StatementResult result) = 0;
   virtual void on_broken(
       DatabaseConnection& connection) = 0;  // its link ended; never while resting
 };
@@ -143,7 +143,7 @@
   std::set<std::string> names_;
   std::deque<Expected> expected_;
   std::string out_;  // gathered until sent at once
-  StatementResult outcome_;
+  StatementResult result_;
   StatementError prepared_ = StatementError::none;
   char wire_state_ = 'I';
   bool has_ended_ = false;  // DONE or ERROR came; READY is due, and nothing else
--- a/src/coordination/databases/database_session.h
+++ b/src/coordination/databases/database_session.h
@@ -30,8 +30,8 @@
   virtual bool holds_leadership(const Backend& backend, TimePoint now) const = 0;
   virtual bool may_wait(Session& session) = 0;  // until `proceed` is called; false: too many wait
   virtual void stop_waiting(Session& session) = 0;
-  virtual void see_refusal(Backend& backend, StatementError verdict, TimePoint now) = 0;
-  virtual void say(Session& session, std::string bytes) = 0;
+  virtual void record_refusal(Backend& backend, StatementError error, TimePoint now) = 0;
+  virtual void send_to_client(Session& session, std::string bytes) = 0;
   virtual void close(Session& session) = 0;                   // after what was said has left
   virtual void set_due(Session& session, TimePoint due) = 0;  // Moment::max(): never
   virtual DatabaseConnectionPool& pool() = 0;
@@ -59,13 +59,13 @@
   }
   ~Session() override;
 
-  void take(DatabaseMessage&& message, TimePoint now);
-  void take_wrong(StatementError verdict);  // what cannot be read: told, then closed
+  void handle_message(DatabaseMessage&& message, TimePoint now);
+  void refuse_unreadable(StatementError error);  // what cannot be read: told, then closed
   bool is_busy() const {
     return state_ == State::seeking || state_ == State::preparing || state_ == State::attempting;
   }
-  bool is_in_change() const {
-    return has_change_;
+  bool is_in_transaction() const {
+    return has_transaction_;
   }
   State state() const {
     return state_;
@@ -78,7 +78,7 @@
   }
   void proceed(TimePoint now);  // what it waited for may be there
   void on_due(TimePoint now);
-  void leave(TimePoint now);  // the client is gone
+  void handle_client_left(TimePoint now);  // the client is gone
   // The client sends nothing more, and may be gone or wait. True: a statement of its is at a
   // database; it is answered, and not sent again. False: nothing is owed.
   bool end_input(TimePoint now);
@@ -88,15 +88,15 @@
   }
   void on_connection(DatabaseConnection& connection, TimePoint now) override;
   void on_no_connection(Backend& backend, StatementError why, TimePoint now) override;
-  void on_prepared(DatabaseConnection& connection, StatementError verdict) override;
-  void on_response(DatabaseConnection& connection, StatementResult outcome) override;
+  void on_prepared(DatabaseConnection& connection, StatementError error) override;
+  void on_response(DatabaseConnection& connection, StatementResult result) override;
   void on_broken(DatabaseConnection& connection) override;
 
  private:
-  void adopt(const Route& route);
-  void greet(DatabaseMessage&& message);
-  void take_idle(const std::string& id, const std::string& text, TimePoint now);
-  bool take_own(const Statement& statement, TimePoint now);  // what needs no backend
+  void use_route(const Route& route);
+  void handle_connect(DatabaseMessage&& message);
+  void handle_statement(const std::string& id, const std::string& text, TimePoint now);
+  bool handle_locally(const Statement& statement, TimePoint now);  // what needs no backend
   void start(const std::string& id, const std::string& text, const Statement& statement,
              TimePoint now);
   void prepare(TimePoint now);
@@ -104,17 +104,18 @@
   bool may_try_again() const {
     return tries_ < max_tries_ && !has_input_ended_;
   }
-  void drop_connection(TimePoint now);
-  bool has_lead(TimePoint now) const {
-    return !is_lead_ || !connection_ || context_.holds_leadership(connection_->backend(), now);
+  void release_connection(TimePoint now);
+  bool has_leadership(TimePoint now) const {
+    return !needs_leadership_ || !connection_ ||
+           context_.holds_leadership(connection_->backend(), now);
   }
-  void lose_response(TimePoint now);
-  void say_done(const std::string& stamp, char state, const std::string& position,
-                std::string rows = {});
-  void say_error(StatementError verdict, const std::string& text, char state);
-  void finish_failed(StatementError verdict, const std::string& text, TimePoint now);
-  void end_change(TimePoint now);
-  void settle(TimePoint now);
+  void handle_lost_response(TimePoint now);
+  void send_completion(const std::string& stamp, char state, const std::string& position,
+                       std::string rows = {});
+  void send_error(StatementError error, const std::string& text, char state);
+  void finish_failed(StatementError error, const std::string& text, TimePoint now);
+  void end_transaction(TimePoint now);
+  void set_rest_deadline(TimePoint now);
 
   SessionContext& context_;
   State state_ = State::greeting;
@@ -124,15 +125,16 @@
   LogPosition own_position_;  // of its last commit
 
   // The transaction. Invariant: without one, no lane is held while nothing is asked.
-  bool has_change_ = false, is_read_only_ = false, has_begun_ = false, has_asked_ = false;
-  bool is_undone_ = false;  // ended without the client's word; it is told with its next statement
+  bool has_transaction_ = false, is_read_only_ = false, has_begun_ = false, has_asked_ = false;
+  bool is_rolled_back_ =
+      false;  // ended without the client's word; it is told with its next statement
   DatabaseConnection* connection_ = nullptr;
-  bool is_lead_ = false;
+  bool needs_leadership_ = false;
   LogPosition after_;
   Route route_;  // as at its start, and its service's name then
   std::string service_;
   int max_connections_ = 1;
-  Duration change_rest_{3000};
+  Duration max_rest_{3000};
 
   bool has_input_ended_ = false;  // the client sends nothing more
 
@@ -141,7 +143,7 @@
   StatementVerb verb_ = StatementVerb::none;
   bool is_write_ = false;  // its effect would last: a WRITE outside a transaction, or SAVE
   const Prepared* prepared_ = nullptr;
-  TimePoint began_{}, deadline_{};
+  TimePoint started_at_{}, deadline_{};
   int tries_ = 0, max_tries_ = 2;
 };
 
--- a/src/coordination/databases/database_session_end.cpp
+++ b/src/coordination/databases/database_session_end.cpp
@@ -15,52 +15,52 @@
 }  // namespace
 
 // The statement may have run and its outcome is not known.
-void Session::lose_response(TimePoint now) {
+void Session::handle_lost_response(TimePoint now) {
   if (is_write_)
     return finish_failed(StatementError::unknown, "the outcome was lost", now);
-  if (!has_change_ && may_try_again() && now < deadline_)
+  if (!has_transaction_ && may_try_again() && now < deadline_)
     return proceed(now);
   finish_failed(StatementError::rolled_back, "the outcome was lost",
                 now);  // reads keep nothing, and what was not saved is rolled back
 }
 
-void Session::drop_connection(TimePoint now) {
+void Session::release_connection(TimePoint now) {
   if (state_ == State::seeking)
     context_.pool().stop_seeking(*this);
   if (DatabaseConnection* connection = std::exchange(connection_, nullptr))
     connection->release(now);
 }
 
-void Session::finish_failed(StatementError verdict, const std::string& text, TimePoint now) {
-  if (verdict == StatementError::unknown)
+void Session::finish_failed(StatementError error, const std::string& text, TimePoint now) {
+  if (error == StatementError::unknown)
     metrics().add(Metric::unknown_responses);
   context_.stop_waiting(*this);
-  drop_connection(now);
-  const bool is_over = !has_change_ || verb_ == StatementVerb::commit;
+  release_connection(now);
+  const bool is_over = !has_transaction_ || verb_ == StatementVerb::commit;
   if (is_over)
-    has_change_ = false;
+    has_transaction_ = false;
   state_ = is_over ? State::idle : State::failed;
-  settle(now);
-  say_error(verdict, text, is_over ? 'I' : 'E');
+  set_rest_deadline(now);
+  send_error(error, text, is_over ? 'I' : 'E');
 }
 
-void Session::end_change(TimePoint now) {
-  drop_connection(now);
-  has_change_ = is_undone_ = false;
+void Session::end_transaction(TimePoint now) {
+  release_connection(now);
+  has_transaction_ = is_rolled_back_ = false;
   state_ = State::idle;
-  settle(now);
+  set_rest_deadline(now);
 }
 
 // Between statements only a resting transaction has a moment to end at.
-void Session::settle(TimePoint now) {
-  context_.set_due(*this,
-                   has_change_ && state_ == State::resting ? now + change_rest_ : TimePoint::max());
+void Session::set_rest_deadline(TimePoint now) {
+  context_.set_due(
+      *this, has_transaction_ && state_ == State::resting ? now + max_rest_ : TimePoint::max());
 }
 
 void Session::on_due(TimePoint now) {
   if (state_ == State::resting) {
-    drop_connection(now);
-    is_undone_ = true;
+    release_connection(now);
+    is_rolled_back_ = true;
     return;
   }
   if (!is_busy())
@@ -72,13 +72,13 @@
       connection->close(why);
     if (is_write_)
       return finish_failed(StatementError::unknown, "no outcome in time", now);
-    return finish_failed(has_change_ ? StatementError::rolled_back : StatementError::timeout,
+    return finish_failed(has_transaction_ ? StatementError::rolled_back : StatementError::timeout,
                          "no outcome in time", now);
   }
   if (state_ == State::preparing)
     if (DatabaseConnection* connection = std::exchange(connection_, nullptr))
       connection->close();
-  finish_failed(has_change_ ? StatementError::rolled_back : StatementError::busy,
+  finish_failed(has_transaction_ ? StatementError::rolled_back : StatementError::busy,
                 "not begun in time", now);
 }
 
@@ -91,12 +91,12 @@
   return true;
 }
 
-void Session::leave(TimePoint now) {
+void Session::handle_client_left(TimePoint now) {
   if (state_ == State::closing)
     return;
   context_.stop_waiting(*this);
   context_.set_due(*this, TimePoint::max());
-  drop_connection(now);
+  release_connection(now);
   state_ = State::closing;
 }
 
--- a/src/pooler/pooler_leadership.cpp
+++ b/src/pooler/pooler_leadership.cpp
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-void PoolerLoop::take_view(ViewSnapshot view, TimePoint now) {
+void PoolerLoop::apply_view(ViewSnapshot view, TimePoint now) {
   const bool is_first = !view_->configuration;
   view_ = std::move(view);
   std::map<std::string, BackendPointer> kept;
@@ -110,10 +110,10 @@
 }
 
 void PoolerLoop::report(TimePoint now) {
-  if (!has_news_ || !control_client_)
+  if (!has_new_evidence_ || !control_client_)
     return;
-  has_news_ = false;
-  reported_ = now;
+  has_new_evidence_ = false;
+  last_report_ = now;
   LeadershipEvidence evidence;
   evidence.revision = leaderships_->revision;
   for (std::size_t position = 0; position < leaderships_->leaderships.size(); ++position) {
@@ -139,7 +139,7 @@
   control_client_->report_evidence(std::move(evidence));
 }
 
-BackendPointer PoolerLoop::lead_of(const std::string& service, TimePoint now) const {
+BackendPointer PoolerLoop::leader_of(const std::string& service, TimePoint now) const {
   const DatabaseLeadership* lead = leaderships_->find(service);
   if (!lead || lead->phase != DatabaseLeadership::Phase::led || now >= lease_until_)
     return nullptr;
@@ -166,7 +166,7 @@
 DatabaseChoice PoolerLoop::choose(const Session& session, const std::string& service,
                                   const Route& route, bool must_lead, TimePoint began,
                                   TimePoint now) {
-  DatabaseChoice choice{lead_of(service, now), true, {}};
+  DatabaseChoice choice{leader_of(service, now), true, {}};
   if (must_lead || route.read_consistency == ReadConsistency::leader ||
       route.read_age <= Duration(0))
     return choice;
--- a/src/pooler/pooler_loop.cpp
+++ b/src/pooler/pooler_loop.cpp
@@ -24,47 +24,47 @@
 
 }  // namespace
 
-PoolerLoop::Client::Client(PoolerLoop& pooling, TcpConnection channel)
-    : pooling(pooling),
-      link(pooling.poller_,
+PoolerLoop::Client::Client(PoolerLoop& loop, TcpConnection channel)
+    : loop(loop),
+      link(loop.poller_,
            {[this](DatabaseMessage&& message) {
-              session.take(std::move(message), Clock::now());
+              session.handle_message(std::move(message), Clock::now());
               return !session.is_busy();
             },
-            [this](DatabaseReadResult step) {
-              if (step == DatabaseReadResult::too_long || step == DatabaseReadResult::malformed)
-                return session.take_wrong(step == DatabaseReadResult::too_long
-                                              ? StatementError::too_long
-                                              : StatementError::malformed);
-              session.leave(Clock::now());
-              this->pooling.defer_delete(*this);
+            [this](DatabaseReadResult result) {
+              if (result == DatabaseReadResult::too_long || result == DatabaseReadResult::malformed)
+                return session.refuse_unreadable(result == DatabaseReadResult::too_long
+                                                     ? StatementError::too_long
+                                                     : StatementError::malformed);
+              session.handle_client_left(Clock::now());
+              this->loop.defer_delete(*this);
             },
             [this] {
               return session.end_input(Clock::now());
             }}),
-      session(pooling) {
-  link.admit(std::move(channel));
+      session(loop) {
+  link.accept(std::move(channel));
 }
 
 void PoolerLoop::Client::on_due(TimePoint now) {
   session.on_due(now);
 }
 
-PoolerLoop::Link::Link(PoolerLoop& pooling, DatabaseConnection& connection)
-    : transport(pooling.poller_, {[&connection](DatabaseMessage&& message) {
-                                    connection.take_message(std::move(message), Clock::now());
-                                    return true;
-                                  },
-                                  [&connection](DatabaseReadResult) {
-                                    connection.take_end();
-                                  }}) {
+PoolerLoop::Link::Link(PoolerLoop& loop, DatabaseConnection& connection)
+    : transport(loop.poller_, {[&connection](DatabaseMessage&& message) {
+                                 connection.take_message(std::move(message), Clock::now());
+                                 return true;
+                               },
+                               [&connection](DatabaseReadResult) {
+                                 connection.take_end();
+                               }}) {
 }
 
 PoolerLoop::PoolerLoop(NodeSettings settings)
     : settings_(std::move(settings)),
       readiness_(*this),
       ready_server_(poller_, timers_, readiness_, 64, 1 << 20),
-      door_(*this),
+      client_listener_(*this),
       tick_(*this),
       views_(64, [this] { poller_.wake(); }),
       leases_(64, [this] { poller_.wake(); }),
@@ -82,7 +82,7 @@
                  return;
                samples_.record(backend.service, lead->number, position, asked);
                own_samples_.record(backend.service, lead->number, position, asked);
-               has_news_ = true;
+               has_new_evidence_ = true;
              },
              [this](Backend& backend, bool is_fine) {
                const TimePoint now = Clock::now();
@@ -92,7 +92,7 @@
                  backend.breaker.record_success();
                else
                  backend.breaker.record_failure(now, true), metrics().add(Metric::failed_attempts);
-               has_news_ = true;
+               has_new_evidence_ = true;
              },
              [] { return Clock::now(); },
              [this](std::unique_ptr<DatabaseConnection> connection) {
@@ -103,24 +103,23 @@
 Error PoolerLoop::open() {
   if (Error found = ready_server_.open(settings_.ready_check))
     return found;
-  if (Error found = door_.listener.open(settings_.front))
+  if (Error found = client_listener_.listener.open(settings_.front))
     return found;
-  poller_.watch(door_.listener.socket(), Poller::read, door_);
+  poller_.watch(client_listener_.listener.socket(), Poller::read, client_listener_);
   return {};
 }
 
-void PoolerLoop::Door::on_ready(bool, bool) {
+void PoolerLoop::ClientListener::on_ready(bool, bool) {
   for (int round = 0; round < 64; ++round) {
     auto channel = listener.admit();
     if (!channel)
       return;
-    if (pooling_.clients_.size() >=
-        static_cast<std::size_t>(pooling_.settings_.file_handles) * 3 / 4)
+    if (loop_.clients_.size() >= static_cast<std::size_t>(loop_.settings_.file_handles) * 3 / 4)
       continue;  // closed by its destructor
-    auto fresh = std::make_unique<Client>(pooling_, std::move(*channel));
+    auto fresh = std::make_unique<Client>(loop_, std::move(*channel));
     Client* client = fresh.get();
-    pooling_.by_session_[&client->session] = client;
-    pooling_.clients_[client] = std::move(fresh);
+    loop_.by_session_[&client->session] = client;
+    loop_.clients_[client] = std::move(fresh);
   }
 }
 
@@ -142,7 +141,7 @@
     const TimePoint now = Clock::now();
     auto views = views_.take();
     if (!views.empty())
-      take_view(std::move(views.back()), now);
+      apply_view(std::move(views.back()), now);
     for (const SampleUpdate& news : samples_in_.take())
       samples_.merge(news.samples, news.built);
     for (LeadershipUpdate& news : leases_.take())
@@ -156,8 +155,8 @@
     if (!should_leave_)
       continue;
     check_leaving(now);
-    if (is_leaving_ && (now - left_ > settings_.grace - end_margin(settings_.grace) ||
-                        (now - left_ > still_chosen && clients_.empty())))
+    if (is_leaving_ && (now - leaving_since_ > settings_.grace - end_margin(settings_.grace) ||
+                        (now - leaving_since_ > still_chosen && clients_.empty())))
       return;
   }
 }
@@ -168,7 +167,7 @@
   end_draining(now);
   if (!waiting_.empty())
     wake_waiting(now);
-  if (now - reported_ >= min_report)
+  if (now - last_report_ >= min_report)
     report(now);
   timers_.set(tick_,
               now + (pool_.is_restless() || !waiting_.empty() || !draining_.empty() ? busy_tick
@@ -183,18 +182,18 @@
   return true;
 }
 
-void PoolerLoop::see_refusal(Backend& backend, StatementError verdict, TimePoint now) {
+void PoolerLoop::record_refusal(Backend& backend, StatementError error, TimePoint now) {
   Health& health = health_[&backend];
-  if (verdict == StatementError::lagging) {
+  if (error == StatementError::lagging) {
     health.lag_pause = std::clamp(health.lag_pause * 2, first_lag_pause, max_lag_pause);
     health.lagging_until = now + health.lag_pause;
-  } else if (verdict == StatementError::readonly || verdict == StatementError::wrong_host) {
+  } else if (error == StatementError::readonly || error == StatementError::wrong_host) {
     health.failing = now;
-    has_news_ = true;
+    has_new_evidence_ = true;
   }
 }
 
-void PoolerLoop::say(Session& session, std::string bytes) {
+void PoolerLoop::send_to_client(Session& session, std::string bytes) {
   const auto found = by_session_.find(&session);
   if (found == by_session_.end())
     return;
@@ -202,14 +201,14 @@
   if (!client.link.send(bytes) && !client.link.is_ended())
     client.link.close();
   if (client.link.is_ended()) {
-    session.leave(Clock::now());
+    session.handle_client_left(Clock::now());
     return defer_delete(client);
   }
   if (session.is_busy())
     return;
   if (!client.link.is_peer_done())
     return client.link.resume();
-  session.leave(Clock::now());
+  session.handle_client_left(Clock::now());
   client.link.finish();
 }
 
@@ -236,30 +235,30 @@
 void PoolerLoop::check_leaving(TimePoint now) {
   if (!is_leaving_) {
     is_leaving_ = true;
-    left_ = now;
+    leaving_since_ = now;
     LOG(INFO) << "pooling: leaving, " << clients_.size() << " sessions open";
   }
-  if (now - left_ <= std::min(still_chosen, settings_.grace / 2))
+  if (now - leaving_since_ <= std::min(still_chosen, settings_.grace / 2))
     return;
-  if (door_.listener.is_open()) {
-    door_.on_ready(true, false);  // whoever waits at the door still comes in
-    poller_.leave(door_.listener.socket());
-    door_.listener.close();
+  if (client_listener_.listener.is_open()) {
+    client_listener_.on_ready(true, false);  // whoever waits in the backlog still comes in
+    poller_.leave(client_listener_.listener.socket());
+    client_listener_.listener.close();
   }
-  const bool may_change = now - left_ < settings_.grace / 2;
+  const bool may_go_on = now - leaving_since_ < settings_.grace / 2;
   std::vector<Client*> ending;
   for (const auto& [client, kept] : clients_) {
     if (client->session.is_busy())
       continue;
-    if (!client->session.is_in_change() || !may_change)
+    if (!client->session.is_in_transaction() || !may_go_on)
       ending.push_back(client);
   }
   for (Client* client : ending) {
     client->link.on_ready(true, false);  // what just came is served first
     if (!clients_.contains(client) || client->session.is_busy() ||
-        (client->session.is_in_change() && may_change))
+        (client->session.is_in_transaction() && may_go_on))
       continue;
-    client->session.leave(now);
+    client->session.handle_client_left(now);
     client->link.finish();
     defer_delete(*client);
   }
@@ -273,9 +272,9 @@
                            now);
   if (target.substr(0, target.find('?')) != row_of(HttpCall::readiness).path)
     return exchange.answer(reply_of(ErrorCode::no_route), now);
-  if (pooling_.is_ready())
+  if (loop_.is_ready())
     return exchange.answer({200, "OK", "", "ready\n"}, now);
-  exchange.answer(reply_of(pooling_.is_leaving_ ? ErrorCode::draining : ErrorCode::not_ready), now);
+  exchange.answer(reply_of(loop_.is_leaving_ ? ErrorCode::draining : ErrorCode::not_ready), now);
 }
 
 }  // namespace saddlewing
--- a/src/pooler/pooler_loop.h
+++ b/src/pooler/pooler_loop.h
@@ -55,8 +55,8 @@
   void stop_waiting(Session& session) override {
     waiting_.erase(&session);
   }
-  void see_refusal(Backend& backend, StatementError verdict, TimePoint now) override;
-  void say(Session& session, std::string bytes) override;
+  void record_refusal(Backend& backend, StatementError error, TimePoint now) override;
+  void send_to_client(Session& session, std::string bytes) override;
   void close(Session& session) override;
   void set_due(Session& session, TimePoint due) override;
   DatabaseConnectionPool& pool() override {
@@ -68,14 +68,14 @@
   // One client's connection. Invariant: idle, it costs this object and its session, and no moment
   // in the schedule.
   struct Client final : Scheduled {
-    Client(PoolerLoop& pooling, TcpConnection channel);
-    PoolerLoop& pooling;
+    Client(PoolerLoop& loop, TcpConnection channel);
+    PoolerLoop& loop;
     DatabaseTransport link;
     Session session;
     void on_due(TimePoint now) override;
   };
   struct Link final : DatabaseConnectionLink {
-    Link(PoolerLoop& pooling, DatabaseConnection& connection);
+    Link(PoolerLoop& loop, DatabaseConnection& connection);
     bool send(const std::string& bytes) override {
       return transport.send(bytes);
     }
@@ -84,34 +84,34 @@
     }
     DatabaseTransport transport;
   };
-  class Door final : public Watcher {
+  class ClientListener final : public Watcher {
    public:
-    explicit Door(PoolerLoop& pooling) : pooling_(pooling) {
+    explicit ClientListener(PoolerLoop& loop) : loop_(loop) {
     }
     void on_ready(bool is_readable, bool is_writable) override;
     Listener listener;
 
    private:
-    PoolerLoop& pooling_;
+    PoolerLoop& loop_;
   };
   struct Tick final : Scheduled {
-    explicit Tick(PoolerLoop& pooling) : pooling(pooling) {
+    explicit Tick(PoolerLoop& loop) : loop(loop) {
     }
-    PoolerLoop& pooling;
+    PoolerLoop& loop;
     void on_due(TimePoint now) override {
-      pooling.tick(now);
+      loop.tick(now);
     }
   };
   class Readiness final : public HttpServer::Handler {
    public:
-    explicit Readiness(const PoolerLoop& pooling) : pooling_(pooling) {
+    explicit Readiness(const PoolerLoop& loop) : loop_(loop) {
     }
     void on_request(ServerExchange& exchange, TimePoint now) override;
     void on_gone(ServerExchange&) override {
     }
 
    private:
-    const PoolerLoop& pooling_;
+    const PoolerLoop& loop_;
   };
   struct Health {  // of one backend, as seen here
     TimePoint fine{}, failing{};
@@ -121,7 +121,7 @@
 
   void run();
   void tick(TimePoint now);
-  void take_view(ViewSnapshot view, TimePoint now);
+  void apply_view(ViewSnapshot view, TimePoint now);
   void handle_leadership_lease(LeadershipUpdate news, TimePoint now);
   void end_draining(TimePoint now);
   void wake_waiting(TimePoint now);
@@ -131,7 +131,7 @@
   bool is_ready() const {
     return view_->is_ready && leaderships_->revision > 0 && !is_leaving_;
   }
-  BackendPointer lead_of(const std::string& service, TimePoint now) const;
+  BackendPointer leader_of(const std::string& service, TimePoint now) const;
   int cost(const Backend& backend) const;
 
   const NodeSettings settings_;
@@ -139,7 +139,7 @@
   TimerQueue timers_;
   Readiness readiness_;
   HttpServer ready_server_;
-  Door door_;
+  ClientListener client_listener_;
   Tick tick_;
   ControlPlaneClient* control_client_ = nullptr;
   BoundedQueue<ViewSnapshot> views_;
@@ -167,8 +167,8 @@
   std::vector<std::unique_ptr<DatabaseConnection>> closed_connections_;
   std::vector<std::unique_ptr<DatabaseConnectionLink>> closed_links_;
   std::set<Session*> waiting_;
-  bool is_leaving_ = false, has_news_ = false;
-  TimePoint left_{}, reported_{};
+  bool is_leaving_ = false, has_new_evidence_ = false;
+  TimePoint leaving_since_{}, last_report_{};
   std::atomic<bool> should_leave_ = false;
   std::thread thread_;
 };
--- a/src/transport/database_transport.cpp
+++ b/src/transport/database_transport.cpp
@@ -3,17 +3,17 @@
 namespace saddlewing {
 
 bool DatabaseTransport::connect(const Address& address) {
-  auto channel = TcpConnection::connect(address);
-  if (!channel)
+  auto connection = TcpConnection::connect(address);
+  if (!connection)
     return false;
-  tcp_ = std::move(*channel);
+  tcp_ = std::move(*connection);
   state_ = State::connecting;
   poller_.watch(tcp_.socket(), Poller::read | Poller::write, *this);
   return true;
 }
 
-void DatabaseTransport::admit(TcpConnection channel) {
-  tcp_ = std::move(channel);
+void DatabaseTransport::accept(TcpConnection connection) {
+  tcp_ = std::move(connection);
   state_ = State::open;
   poller_.watch(tcp_.socket(), Poller::read, *this);
 }
@@ -26,11 +26,11 @@
   tcp_ = TcpConnection();
 }
 
-void DatabaseTransport::end(DatabaseReadResult step) {
+void DatabaseTransport::end(DatabaseReadResult result) {
   if (state_ == State::ended)
     return;
   close();
-  owner_.on_end(step);
+  owner_.on_end(result);
 }
 
 bool DatabaseTransport::send(std::string_view bytes) {
@@ -52,12 +52,12 @@
 
 void DatabaseTransport::flush() {
   while (sent_ < out_.size()) {
-    const Transfer gone = tcp_.send(out_.data() + sent_, out_.size() - sent_);
-    if (gone.is_closed)
+    const Transfer sent = tcp_.send(out_.data() + sent_, out_.size() - sent_);
+    if (sent.is_closed)
       return end(DatabaseReadResult::incomplete);
-    if (!gone.count)
+    if (!sent.count)
       return poller_.change(tcp_.socket(), Poller::write | read_mode());
-    sent_ += gone.count;
+    sent_ += sent.count;
   }
   out_.clear();
   sent_ = 0;
@@ -85,10 +85,10 @@
   return is_full_ || is_peer_done_ ? 0 : Poller::read;
 }
 
-// What came before the end is told first: its answer may be what the peer waits for.
+// What came before the end is delivered first: its answer may be what the peer waits for.
 void DatabaseTransport::handle_peer_end(bool is_in_order) {
   if (is_in_order)
-    tell();
+    deliver_messages();
   if (state_ != State::open)
     return;
   if (!is_in_order || !owner_.on_peer_done || !owner_.on_peer_done())
@@ -106,44 +106,44 @@
   }
   static thread_local char bytes[65536];
   for (;;) {
-    const Transfer got = tcp_.receive(bytes, sizeof bytes);
-    if (got.is_closed)
-      return handle_peer_end(got.is_peer_done);
-    if (!got.count)
+    const Transfer received = tcp_.receive(bytes, sizeof bytes);
+    if (received.is_closed)
+      return handle_peer_end(received.is_peer_done);
+    if (!received.count)
       break;
     if (is_finishing_)
       continue;
-    in_.append(bytes, got.count);
+    in_.append(bytes, received.count);
     if (in_.size() > max_ahead)
       break;
-    if (got.count < sizeof bytes)
+    if (received.count < sizeof bytes)
       break;
   }
-  tell();
+  deliver_messages();
 }
 
 void DatabaseTransport::resume() {
-  is_held_ = false;
+  is_paused_ = false;
   if (state_ == State::open && !in_.empty())
-    tell();
+    deliver_messages();
 }
 
-void DatabaseTransport::tell() {
-  if (is_telling_)
-    return;  // whoever is told now goes on when it returns
-  is_telling_ = true;
-  while (state_ == State::open && !is_held_ && !is_finishing_) {
+void DatabaseTransport::deliver_messages() {
+  if (is_delivering_)
+    return;  // whoever delivers now goes on when it returns
+  is_delivering_ = true;
+  while (state_ == State::open && !is_paused_ && !is_finishing_) {
     DatabaseMessage message;
-    const DatabaseReadResult step = read_database_message(in_, message);
-    if (step == DatabaseReadResult::incomplete)
+    const DatabaseReadResult result = read_database_message(in_, message);
+    if (result == DatabaseReadResult::incomplete)
       break;
-    if (step != DatabaseReadResult::complete) {
-      owner_.on_end(step);  // it may still say something before it closes
+    if (result != DatabaseReadResult::complete) {
+      owner_.on_end(result);  // it may still say something before it closes
       break;
     }
-    is_held_ = !owner_.on_message(std::move(message));
+    is_paused_ = !owner_.on_message(std::move(message));
   }
-  is_telling_ = false;
+  is_delivering_ = false;
   if (state_ != State::open)
     return;
   const bool is_full = in_.size() > max_ahead;
--- a/src/transport/database_transport.h
+++ b/src/transport/database_transport.h
@@ -8,10 +8,10 @@
 
 namespace saddlewing {
 
-// Its way: Connecting -> Open -> Ended. Invariant: after Ended nothing is told any more. A peer
-// that ends its sending side may still wait for an answer: the owner decides whether the connection
-// stays open for that, and then ends it with `finish`. What it sent and was not told by then is
-// dropped.
+// Its way: Connecting -> Open -> Ended. Invariant: after Ended nothing is delivered any more. A
+// peer that ends its sending side may still wait for an answer: the owner decides whether the
+// connection stays open for that, and then ends it with `finish`. What it sent and was not told by
+// then is dropped.
 class DatabaseTransport final : public Watcher {
  public:
   struct Owner {
@@ -26,11 +26,11 @@
     close();
   }
   bool connect(const Address& address);
-  void admit(TcpConnection channel);
+  void accept(TcpConnection connection);
 
   bool send(std::string_view bytes);  // false: the connection is gone
   void close();
-  void finish();  // closes once what was said has left
+  void finish();  // closes once what was sent has left
   void resume();
   bool is_ended() const {
     return state_ == State::ended;
@@ -51,8 +51,8 @@
   };
   void read();
   void flush();
-  void tell();
-  void end(DatabaseReadResult step);
+  void deliver_messages();
+  void end(DatabaseReadResult result);
   void handle_peer_end(bool is_in_order);
   int read_mode() const;  // what the poller is to watch for reading
   static constexpr std::size_t max_unsent = 8u << 20,
@@ -64,7 +64,7 @@
   State state_ = State::ended;
   std::string in_, out_;
   std::size_t sent_ = 0;
-  bool is_finishing_ = false, is_telling_ = false, is_full_ = false, is_held_ = false,
+  bool is_finishing_ = false, is_delivering_ = false, is_full_ = false, is_paused_ = false,
        is_peer_done_ = false;
 };
 
--- a/tests/coordination/databases/database_fixture.h
+++ b/tests/coordination/databases/database_fixture.h
@@ -217,7 +217,7 @@
     DatabaseMessage message;
     cr_assert(read_database_message(bytes, message) == DatabaseReadResult::complete);
     client.last_contact.clear();
-    client.session->take(std::move(message), Clock::now());
+    client.session->handle_message(std::move(message), Clock::now());
     pump();
   }
   void pump() {
@@ -260,9 +260,9 @@
   void stop_waiting(Session& session) override {
     waiting.erase(&session);
   }
-  void see_refusal(Backend&, StatementError, TimePoint) override {
+  void record_refusal(Backend&, StatementError, TimePoint) override {
   }
-  void say(Session& session, std::string bytes) override {
+  void send_to_client(Session& session, std::string bytes) override {
     Client& client = *clients_[&session];
     client.bytes += bytes;
     client.told += bytes;
--- a/tests/coordination/databases/database_session_test.cpp
+++ b/tests/coordination/databases/database_session_test.cpp
@@ -109,7 +109,7 @@
   stage.pump();
   stage.say(leaving, "BEGIN");
   stage.say(leaving, "WRITE b 1");
-  leaving.session->leave(Clock::now());
+  leaving.session->handle_client_left(Clock::now());
   stage.pump();
   stage.say(next, "WRITE c 1");
   cr_expect(next.verdict().empty());
@@ -134,12 +134,12 @@
       }
       client.last_contact.clear();
       DatabaseMessage message{DatabaseMessageKind::query, {"last", text}};
-      client.session->take(std::move(message), Clock::now());
+      client.session->handle_message(std::move(message), Clock::now());
       cr_assert(client.session->end_input(Clock::now()));
       stage.pump();
       cr_expect(client.verdict().empty() &&
                 client.last().field(0) == (is_in_transaction ? "T" : "I"));
-      client.session->leave(Clock::now());
+      client.session->handle_client_left(Clock::now());
       stage.pump();
       const bool lasts = text == "WRITE a 1" && !is_in_transaction;
       cr_expect(stage.databases["leader"].log.size() == (lasts ? 2 : 1));
@@ -158,7 +158,7 @@
   stage.databases["leader"].injected_fault = StandIn::InjectedFault::cut_after;
   client.last_contact.clear();
   DatabaseMessage message{DatabaseMessageKind::query, {"last", "READ a"}};
-  client.session->take(std::move(message), Clock::now());
+  client.session->handle_message(std::move(message), Clock::now());
   cr_assert(client.session->end_input(Clock::now()));
   stage.say(waiting, "READ b");
   cr_expect(client.verdict() == "UNDONE" && client.session->state() == Session::State::idle);
@@ -178,7 +178,7 @@
     client.last_contact.clear();
     const TimePoint now = Clock::now();
     DatabaseMessage message{DatabaseMessageKind::query, {"last", text}};
-    client.session->take(std::move(message), now);
+    client.session->handle_message(std::move(message), now);
     const TimePoint deadline = client.due;
     cr_assert(client.session->end_input(now));
     const bool is_write = text == "WRITE a 1";
@@ -258,14 +258,14 @@
   std::string bytes = encode_query("t", "WRITE b 1");
   read_database_message(bytes, message);
   client.last_contact.clear();
-  client.session->take(std::move(message), Clock::now());
+  client.session->handle_message(std::move(message), Clock::now());
   for (int round = 0; round < 2 && stage.databases["leader"].log.empty(); ++round)
     stage.pump();
   cr_expect(stage.databases["leader"].log.size() == 1 && client.verdict().empty());
   bytes = encode_query("u", "WRITE c 1");
   read_database_message(bytes, message);
   client.last_contact.clear();
-  client.session->take(std::move(message), Clock::now());
+  client.session->handle_message(std::move(message), Clock::now());
   stage.has_lease = false;
   stage.pump();
   cr_expect(client.verdict() == "UNKNOWN");
--- a/tests/transport/database_transport_test.cpp
+++ b/tests/transport/database_transport_test.cpp
@@ -34,7 +34,7 @@
                                               return is_answer_owed;
                                             }};
     transport = std::make_unique<DatabaseTransport>(poller, owner);
-    transport->admit(std::move(*channel));
+    transport->accept(std::move(*channel));
   }
   void send(const std::string& bytes) {
     peer.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
