Registries: a command for a database that comes after its lease ends without a connection

Cause: a command that begins after the lease under which it was decided is refused before it has a connection; the end of a database's command closed the connection all the same.

Change: a connection is closed if there is one.

Evidence: the new test crashes the program before; after: 3 of 3 tests of the dispatcher.

--- a/src/registry/command_dispatcher.cpp
+++ b/src/registry/command_dispatcher.cpp
@@ -188,7 +188,8 @@
   if (status == 200 && read_database_status(command.row, read))
     examined.status = read;
   hand_over(events_, std::move(examined), "status of a database");
-  command.link->close();
+  if (command.link)  // none was begun without a lease
+    command.link->close();
 }
 
 void CommandDispatcher::PendingCommand::on_due(TimePoint) {
--- a/tests/registry/command_dispatcher_test.cpp
+++ b/tests/registry/command_dispatcher_test.cpp
@@ -119,6 +119,23 @@
   dispatcher.stop();
 }
 
+// Guards against a registry that crashes once it loses its lease with commands for databases
+// waiting.
+Test(dispatcher, a_database_is_not_asked_after_the_lease_and_that_is_told) {
+  BoundedQueue<ControlEvent> events(64, {});
+  CommandDispatcher dispatcher(NodeSettings{}, events);
+  dispatcher.start();
+  dispatcher.order({5, "db", "i-1", "127.0.0.1:1", "STATUS", {}, 3, Clock::now() - 1ms});
+  std::optional<DatabaseReply> reply;
+  for (const TimePoint until = Clock::now() + 5s; Clock::now() < until && !reply;)
+    for (ControlEvent& event : events.take())
+      if (auto* told = std::get_if<DatabaseReply>(&event))
+        reply = *told;
+  dispatcher.stop();
+  cr_assert(reply.has_value());
+  cr_expect(reply->token == 5 && !reply->status);
+}
+
 // The move itself: what a node says without saying it whole moves nothing.
 Test(ring, a_node_that_is_not_understood_moves_nothing_and_the_reason_is_shown) {
   RingDocument document{
