Failover: one condition, one wait and one look-up in place of copies

Cause: that a database leads in the newest term known stood four times, the wait for answers three times, the start of a comparison twice, and a look-up by id three times, of which two beside the function that does it. Change: leads_in_newest_term, is_answer_wait_over, comparison_duration, find_answer and find_endpoint serve all of them; declarations stand with the file that holds them. No behaviour changes.

--- a/src/coordination/databases/failover.cpp
+++ b/src/coordination/databases/failover.cpp
@@ -17,14 +17,6 @@
 constexpr int http_ok = 200;
 constexpr int http_conflict = 409;
 
-const DatabaseEndpoint* find_endpoint(const std::vector<const DatabaseEndpoint*>& endpoints,
-                                      const std::string& id) {
-  const auto found =
-      std::find_if(endpoints.begin(), endpoints.end(),
-                   [&](const DatabaseEndpoint* endpoint) { return endpoint->id == id; });
-  return found == endpoints.end() ? nullptr : *found;
-}
-
 // Of each address the incarnation that was heard of last, if it says that it leads.
 std::vector<const DatabaseEndpoint*> find_claimants(
     const std::vector<const DatabaseEndpoint*>& endpoints) {
@@ -45,6 +37,14 @@
 
 }  // namespace
 
+const DatabaseEndpoint* Failover::find_endpoint(const EndpointPointers& endpoints,
+                                                const std::string& id) {
+  const auto found =
+      std::find_if(endpoints.begin(), endpoints.end(),
+                   [&](const DatabaseEndpoint* endpoint) { return endpoint->id == id; });
+  return found == endpoints.end() ? nullptr : *found;
+}
+
 void Failover::record_pooler(const std::string& pooler, IncarnationId incarnation,
                              std::uint64_t revision, const std::string& zone,
                              const std::string& failing, const std::string& fine, TimePoint now) {
@@ -73,8 +73,7 @@
 void Failover::propose_leader(DatabaseLeadership leadership, const std::string& id,
                               const DatabaseStatus& status, const std::string& log_line) {
   const bool is_newest = check_invariant(
-      Invariant::leader_has_newest_term, status.is_leader && status.term >= newest_term(leadership),
-      [&] {
+      Invariant::leader_has_newest_term, leads_in_newest_term(leadership, status), [&] {
         return leadership.service + ": " + id + " in term " + std::to_string(status.term) +
                ", known is " + std::to_string(newest_term(leadership));
       });
@@ -206,20 +205,21 @@
   return newest;
 }
 
+bool Failover::leads_in_newest_term(const DatabaseLeadership& leadership,
+                                    const DatabaseStatus& status) const {
+  return status.is_leader && status.term >= newest_term(leadership);
+}
+
 // The term is agreed with the leadership: it has to outlast the database that led in it, and every
 // registry that saw it.
 bool Failover::record_term(const DatabaseLeadership& leadership) {
-  const std::map<std::string, StatusAnswer>& answers = transitions_.at(leadership.service).answers;
-  const auto answer = answers.find(leadership.id);
-  if (answer == answers.end())
-    return false;
-  const DatabaseStatus& status = answer->second.status;
-  if (!status.is_leader || status.term <= leadership.term)
+  const StatusAnswer* answer = transitions_.at(leadership.service).find_answer(leadership.id);
+  if (!answer || !answer->status.is_leader || answer->status.term <= leadership.term)
     return false;
   DatabaseLeadership next = leadership;
-  next.term = status.term;
+  next.term = answer->status.term;
   propose_change(std::move(next),
-                 leadership.service + " is led in term " + std::to_string(status.term));
+                 leadership.service + " is led in term " + std::to_string(next.term));
   return true;
 }
 
--- a/src/coordination/databases/failover.h
+++ b/src/coordination/databases/failover.h
@@ -149,6 +149,18 @@
     bool is_promotion_accepted = false;
     bool is_promotion_refused = false;
     TimePoint promoted_at{};  // when the last promotion was called for, or its result came
+
+    // Null: it has not answered.
+    const StatusAnswer* find_answer(const std::string& id) const {
+      const auto found = answers.find(id);
+      return found == answers.end() ? nullptr : &found->second;
+    }
+    // How long the comparison of logs goes on; the first call begins it.
+    Duration comparison_duration(TimePoint now) {
+      if (comparison_started_at == TimePoint{})
+        comparison_started_at = now;
+      return elapsed(comparison_started_at, now);
+    }
   };
 
   struct PendingCommand {
@@ -173,6 +185,9 @@
 
   using EndpointPointers = std::vector<const DatabaseEndpoint*>;  // of one service
 
+  // Null: there is none of that id.
+  static const DatabaseEndpoint* find_endpoint(const EndpointPointers& endpoints,
+                                               const std::string& id);
   void start_leading(TimePoint now);
   Transition& current_transition(const DatabaseLeadership& leadership, TimePoint now);
   void advance_service(const std::string& service, int sync, const EndpointPointers& endpoints,
@@ -184,12 +199,12 @@
   void propose_leader(DatabaseLeadership leadership, const std::string& id,
                       const DatabaseStatus& status, const std::string& log_line);
   void propose_closing(DatabaseLeadership leadership, bool is_planned, const std::string& log_line);
+  std::uint64_t newest_term(const DatabaseLeadership& leadership) const;
+  bool leads_in_newest_term(const DatabaseLeadership& leadership,
+                            const DatabaseStatus& status) const;
 
   // Phase led.
   void adopt_leader(const std::string& service, const EndpointPointers& endpoints, TimePoint now);
-  std::optional<DatabaseLeadership> choose_claimant(const std::string& service,
-                                                    const EndpointPointers& claimants,
-                                                    TimePoint now);
   void monitor_leader(const DatabaseLeadership& leadership, const EndpointPointers& endpoints,
                       TimePoint now);
   bool record_term(const DatabaseLeadership& leadership);
@@ -201,8 +216,10 @@
                      TimePoint now) const;
   bool is_leader_lost(const DatabaseLeadership& leadership, Duration silence, TimePoint now) const;
 
-  // Phases closing and raising; in failover_election.cpp.
-  std::uint64_t newest_term(const DatabaseLeadership& leadership) const;
+  // In failover_election.cpp: the first leader of a service, and the phases closing and raising.
+  std::optional<DatabaseLeadership> choose_claimant(const std::string& service,
+                                                    const EndpointPointers& claimants,
+                                                    TimePoint now);
   bool is_present_leader(const DatabaseLeadership& leadership, const DatabaseStatus& status) const;
   bool has_taken_the_lead(const DatabaseLeadership& leadership, const DatabaseStatus& status) const;
   void elect(const DatabaseLeadership& leadership, int sync, const EndpointPointers& endpoints,
@@ -211,6 +228,7 @@
                        TimePoint now);
   Comparison compare_replicas(const DatabaseLeadership& leadership,
                               const EndpointPointers& endpoints, int sync, Duration waited) const;
+  bool is_answer_wait_over(Duration waited) const;
   static bool must_catch_up(const Comparison& comparison, const StatusAnswer* former, int sync,
                             Duration waited, TimePoint now);
   bool is_elected(const DatabaseLeadership& leadership, const Comparison& comparison,
--- a/src/coordination/databases/failover_election.cpp
+++ b/src/coordination/databases/failover_election.cpp
@@ -29,13 +29,6 @@
 // A target whose heartbeats are missing so long after its election is given up.
 constexpr Duration target_timeout{2500};
 
-// Null: it has not answered.
-template <class Answers>
-const typename Answers::mapped_type* find_answer(const Answers& answers, const std::string& id) {
-  const auto found = answers.find(id);
-  return found == answers.end() ? nullptr : &found->second;
-}
-
 }  // namespace
 
 // Whether a database's word that it leads holds without a promotion. A former leader goes on saying
@@ -43,19 +36,17 @@
 // that it did not take effect elsewhere.
 bool Failover::is_present_leader(const DatabaseLeadership& leadership,
                                  const DatabaseStatus& status) const {
-  if (!status.is_leader || status.term < newest_term(leadership))
-    return false;
-  return leadership.target.empty() || status.term > leadership.term;
+  return leads_in_newest_term(leadership, status) &&
+         (leadership.target.empty() || status.term > leadership.term);
 }
 
 // Whether the promoted database leads. The platform leaves the present leader in its term, so that
 // its consent counts as well as a newer term.
 bool Failover::has_taken_the_lead(const DatabaseLeadership& leadership,
                                   const DatabaseStatus& status) const {
-  if (!status.is_leader || status.term < newest_term(leadership))
-    return false;
-  return transitions_.at(leadership.service).is_promotion_accepted ||
-         (leadership.term > 0 && status.term > leadership.term);
+  return leads_in_newest_term(leadership, status) &&
+         (transitions_.at(leadership.service).is_promotion_accepted ||
+          (leadership.term > 0 && status.term > leadership.term));
 }
 
 void Failover::query_databases(const std::string& service, const EndpointPointers& endpoints,
@@ -80,13 +71,12 @@
                                                             TimePoint now) {
   query_databases(service, claimants, now);
   Transition& transition = transitions_[service];
-  if (transition.comparison_started_at == TimePoint{})
-    transition.comparison_started_at = now;
+  const Duration waited = transition.comparison_duration(now);
   DatabaseLeadership chosen;
   chosen.service = service;
   std::size_t answer_count = 0;
   for (const DatabaseEndpoint* claimant : claimants) {
-    const StatusAnswer* answer = find_answer(transition.answers, claimant->id);
+    const StatusAnswer* answer = transition.find_answer(claimant->id);
     if (!answer)
       continue;
     ++answer_count;
@@ -95,23 +85,24 @@
     chosen.id = claimant->id;
     chosen.term = answer->status.term;
   }
-  const bool is_decided = answer_count == claimants.size() ||
-                          now - transition.comparison_started_at >=
-                              options_.status_retry_interval * answer_wait_intervals;
-  if (!is_decided)
+  if (answer_count < claimants.size() && !is_answer_wait_over(waited))
     return std::nullopt;
   if (answer_count == 0 && claimants.size() == 1)
     chosen.id = claimants.front()->id;
   return chosen.id.empty() ? std::nullopt : std::optional(chosen);
 }
 
+// `waited`: since the comparison began.
+bool Failover::is_answer_wait_over(Duration waited) const {
+  return waited >= options_.status_retry_interval * answer_wait_intervals;
+}
+
 // `waited`: since the comparison began. One that ended its registration may serve on and alone have
 // a commit: it has the time to answer, and is not waited for longer.
 Failover::Comparison Failover::compare_replicas(const DatabaseLeadership& leadership,
                                                 const EndpointPointers& endpoints, int sync,
                                                 Duration waited) const {
   const Transition& transition = transitions_.at(leadership.service);
-  const bool is_wait_over = waited >= options_.status_retry_interval * answer_wait_intervals;
   Comparison comparison;
   std::map<std::string, bool> has_answered;  // by address of a replica
   std::string former_address;
@@ -122,8 +113,8 @@
     // It leads again without a promotion, or, once one was called for, is elected like a replica.
     if (is_former && leadership.target.empty())
       continue;
-    const StatusAnswer* answer = find_answer(transition.answers, endpoint->id);
-    if (!endpoint->is_gone || !is_wait_over)
+    const StatusAnswer* answer = transition.find_answer(endpoint->id);
+    if (!endpoint->is_gone || !is_answer_wait_over(waited))
       has_answered[endpoint->address] |= answer != nullptr;
     if (!answer)
       continue;
@@ -163,13 +154,13 @@
 bool Failover::is_elected(const DatabaseLeadership& leadership, const Comparison& comparison,
                           const StatusAnswer* former, int sync, Duration waited) const {
   // Whatever was acknowledged is in the leader's log.
-  if (former && former->status.is_leader && former->status.term >= newest_term(leadership) &&
+  if (former && leads_in_newest_term(leadership, former->status) &&
       comparison.best_status.position >= former->status.position)
     return true;
   if (comparison.has_every_answer)
     return true;
   // With synchronous replication a replica that does not answer may alone have a commit.
-  return sync <= 0 && waited >= options_.status_retry_interval * answer_wait_intervals;
+  return sync <= 0 && is_answer_wait_over(waited);
 }
 
 // Nobody may use the former leader any more. Once no pooler can, the logs are compared: what was
@@ -182,12 +173,10 @@
   if (transition.is_promotion_outstanding ||
       (transition.was_promoted && now - transition.promoted_at < options_.max_promotion_delay))
     return;  // an earlier call may still take effect
-  if (transition.comparison_started_at == TimePoint{})
-    transition.comparison_started_at = now;
+  const Duration waited = transition.comparison_duration(now);
   const std::string& service = leadership.service;
   query_databases(service, endpoints, now);
-  const StatusAnswer* former = find_answer(transition.answers, leadership.id);
-  const Duration waited = elapsed(transition.comparison_started_at, now);
+  const StatusAnswer* former = transition.find_answer(leadership.id);
   const Comparison comparison = compare_replicas(leadership, endpoints, sync, waited);
   const DatabaseStatus& best = comparison.best_status;
   // Another leads already: an earlier promotion took effect, or the former leader began anew.
@@ -214,10 +203,9 @@
                                           const EndpointPointers& endpoints, TimePoint now) const {
   if (!former || !is_present_leader(leadership, former->status))
     return false;
-  return std::any_of(endpoints.begin(), endpoints.end(), [&](const DatabaseEndpoint* endpoint) {
-    return endpoint->id == leadership.id && endpoint->is_ready &&
-           now - endpoint->last_heartbeat < options_.backend_heartbeat_interval * 5 / 4;
-  });
+  const DatabaseEndpoint* endpoint = find_endpoint(endpoints, leadership.id);
+  return endpoint && endpoint->is_ready &&
+         now - endpoint->last_heartbeat < options_.backend_heartbeat_interval * 5 / 4;
 }
 
 void Failover::call_promotion(const DatabaseLeadership& leadership, TimePoint now) {
@@ -238,13 +226,11 @@
 
 bool Failover::is_target_lost(const DatabaseLeadership& leadership,
                               const EndpointPointers& endpoints, TimePoint now) const {
-  const auto found = std::find_if(
-      endpoints.begin(), endpoints.end(),
-      [&](const DatabaseEndpoint* endpoint) { return endpoint->id == leadership.target; });
-  if (found == endpoints.end())
+  const DatabaseEndpoint* target = find_endpoint(endpoints, leadership.target);
+  if (!target)
     return true;
   return now - transitions_.at(leadership.service).phase_started_at > target_timeout &&
-         now - (*found)->last_heartbeat > options_.backend_heartbeat_interval * 2;
+         now - target->last_heartbeat > options_.backend_heartbeat_interval * 2;
 }
 
 void Failover::promote_target(const DatabaseLeadership& leadership,
@@ -254,7 +240,7 @@
   const std::string& service = leadership.service;
   const std::string& target = leadership.target;
   Transition& transition = transitions_[service];
-  const StatusAnswer* answer = find_answer(transition.answers, target);
+  const StatusAnswer* answer = transition.find_answer(target);
   if (answer && has_taken_the_lead(leadership, answer->status))
     return propose_leader(leadership, target, answer->status, service + " is led by " + target);
   if (transition.is_promotion_refused || is_target_lost(leadership, endpoints, now))
