Session connections: one function says what the poller watches

Cause: what is watched follows from whether more may be read and whether bytes wait to leave, and stood four times in parts. Change: update_poller. No behaviour changes: where a send is blocked bytes wait, and where all have left none do.

--- a/src/transport/database_transport.cpp
+++ b/src/transport/database_transport.cpp
@@ -56,12 +56,12 @@
     if (sent.is_closed)
       return end(DatabaseReadResult::incomplete);
     if (!sent.count)
-      return poller_.change(tcp_.socket(), Poller::write | read_mode());
+      return update_poller();
     sent_ += sent.count;
   }
   out_.clear();
   sent_ = 0;
-  poller_.change(tcp_.socket(), read_mode());
+  update_poller();
   if (is_finishing_)
     end(DatabaseReadResult::incomplete);
 }
@@ -81,8 +81,10 @@
     read();
 }
 
-int DatabaseTransport::read_mode() const {
-  return is_full_ || is_peer_done_ ? 0 : Poller::read;
+void DatabaseTransport::update_poller() {
+  const int read_mode = is_full_ || is_peer_done_ ? 0 : Poller::read;
+  const int write_mode = out_.empty() ? 0 : Poller::write;
+  poller_.change(tcp_.socket(), read_mode | write_mode);
 }
 
 // What came before the end is delivered first: its answer may be what the peer waits for.
@@ -95,7 +97,7 @@
     return end(DatabaseReadResult::incomplete);
   is_peer_done_ = true;
   in_.clear();
-  poller_.change(tcp_.socket(), (out_.empty() ? 0 : Poller::write) | read_mode());
+  update_poller();
 }
 
 void DatabaseTransport::read() {
@@ -149,7 +151,7 @@
   const bool is_full = in_.size() > max_ahead;
   if (is_full != is_full_) {
     is_full_ = is_full;
-    poller_.change(tcp_.socket(), read_mode() | (out_.empty() ? 0 : Poller::write));
+    update_poller();
   }
 }
 
--- a/src/transport/database_transport.h
+++ b/src/transport/database_transport.h
@@ -10,8 +10,8 @@
 
 // Its way: Connecting -> Open -> Ended. Invariant: after Ended nothing is delivered any more. A
 // peer that ends its sending side may still wait for an answer: the owner decides whether the
-// connection stays open for that, and then ends it with `finish`. What it sent and was not told by
-// then is dropped.
+// connection stays open for that, and then ends it with `finish`. What it sent and was not
+// delivered by then is dropped.
 class DatabaseTransport final : public Watcher {
  public:
   struct Owner {
@@ -54,7 +54,7 @@
   void deliver_messages();
   void end(DatabaseReadResult result);
   void handle_peer_end(bool is_in_order);
-  int read_mode() const;  // what the poller is to watch for reading
+  void update_poller();  // watches for what can be read and is to be sent
   static constexpr std::size_t max_unsent = 8u << 20,
                                max_ahead = max_database_message_bytes + 65536;
 
