Raft: a candidate asks whether its state is saved, and not also whether a save stalls

Cause: since nobody campaigns before its state is on disk. A save runs only while something is unsaved, so that the test for a stalled save beside it never decided anything. Change: that test and its parameter are gone; the option says what it still does. No behaviour changes.

--- a/src/coordination/raft/raft_node.cpp
+++ b/src/coordination/raft/raft_node.cpp
@@ -132,7 +132,6 @@
 }
 
 void RaftNode::tick(TimePoint now) {
-  const bool is_disk_stalled = outbox_.is_stalled(options_.disk_stall_timeout, now);
   if (role_ == Role::leader) {
     if (is_overtaken(now))
       transfer_leadership(now);
@@ -143,7 +142,7 @@
   if (role_ == Role::leader)
     tick_leader(now);
   else
-    tick_follower(is_disk_stalled, now);
+    tick_follower(now);
 }
 
 void RaftNode::tick_leader(TimePoint now) {
@@ -153,7 +152,7 @@
   next_due_ = heartbeats_.next_due();
 }
 
-void RaftNode::tick_follower(bool is_disk_stalled, TimePoint now) {
+void RaftNode::tick_follower(TimePoint now) {
   // If nobody leads that it could learn from, a node that was told of its removal campaigns again:
   // a pre-vote disturbs no leader.
   if (membership_.is_removed &&
@@ -161,8 +160,9 @@
     membership_.is_removed = false;
   const bool is_candidate = may_campaign();
   if (election_.is_due(now)) {
-    // A vote that is not on disk yet belongs to an election that goes on.
-    if (is_candidate && !is_disk_stalled && outbox_.is_state_saved())
+    // Nobody campaigns while something is to be saved: a vote that is not on disk yet belongs to an
+    // election that goes on.
+    if (is_candidate && outbox_.is_state_saved())
       start_pre_vote(now);
     else
       reset_election_timer(now);
--- a/src/coordination/raft/raft_node.h
+++ b/src/coordination/raft/raft_node.h
@@ -170,7 +170,7 @@
   bool may_save() const;
   bool is_other_leader_of_term(const RaftMessage& message) const;
   void tick_leader(TimePoint now);
-  void tick_follower(bool is_disk_stalled, TimePoint now);
+  void tick_follower(TimePoint now);
   bool is_overtaken(TimePoint now) const;
   void handle_saved_vote(TimePoint now);
   void handle_join_reply(const RaftMessage& message);
--- a/src/coordination/raft/raft_options.h
+++ b/src/coordination/raft/raft_options.h
@@ -29,8 +29,8 @@
   // Default 1000 ms. A voter without contact for longer is replaced by a caught-up learner.
   Duration voter_timeout{1000};
 
-  // Default 700 ms. A save that takes longer counts as a stalled disk: nobody campaigns meanwhile.
-  // A leader hands its leadership over once a voter has had for so long what it is still saving.
+  // Default 700 ms. A leader hands its leadership over once a voter has had for so long what it is
+  // still saving. A save that takes longer is told to operators as stuck.
   Duration disk_stall_timeout{700};
 
   // Default 2000 ms. Longest time that a leaving node waits for its place to be taken.
