Registries: look for superseded incarnations only where a lease ran out

Change: expired leases are gathered first, and the map is made if there are any. Who ends, and when, stays as it is.

--- a/src/coordination/discovery/service_registry.cpp
+++ b/src/coordination/discovery/service_registry.cpp
@@ -198,6 +198,12 @@
 void ServiceRegistry::end_superseded(TimePoint now) {
   if (!options_.has_self_registration)
     return;
+  std::vector<LeasedEndpoint*> expired;
+  for (auto& [id, leased] : endpoints_)
+    if (leased.endpoint.phase != EndpointPhase::gone && leased.lease_until <= now)
+      expired.push_back(&leased);
+  if (expired.empty())
+    return;
   std::map<std::string, TimePoint> last_renewals;  // by address, under leases that run
   for (const auto& [id, leased] : endpoints_) {
     if (leased.endpoint.phase == EndpointPhase::gone || leased.lease_until <= now)
@@ -205,16 +211,14 @@
     TimePoint& last = last_renewals[leased.endpoint.address];
     last = std::max(last, leased.last_heartbeat);
   }
-  for (auto& [id, leased] : endpoints_) {
-    if (leased.endpoint.phase == EndpointPhase::gone)
-      continue;
-    const auto last = last_renewals.find(leased.endpoint.address);
-    if (last == last_renewals.end() || last->second <= leased.lease_until)
+  for (LeasedEndpoint* leased : expired) {
+    const auto last = last_renewals.find(leased->endpoint.address);
+    if (last == last_renewals.end() || last->second <= leased->lease_until)
       continue;
     ++superseded_count_;
-    mark_gone(leased, now);
-    leased.endpoint.status = EndpointStatus::out_of_service;
-    mark_changed(leased);
+    mark_gone(*leased, now);
+    leased->endpoint.status = EndpointStatus::out_of_service;
+    mark_changed(*leased);
   }
 }
 
