Soak: both kinds of run share calm times, bounds, opening and ending

Cause: whether a trouble overlaps a span of time stood three times, three bounds of the checkers twice, the time that routes give twice, and the opening and ending of a run, and the head of its printed line, once in each kind. Change: Span.overlaps and History.is_node_calm; the checker of databases takes its bounds from the other one (the same figures); `opened` around a run. All checks judge as before.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -67,16 +67,24 @@
     return ", ".join(f"{reason} {count}" for reason, count in reasons.most_common())
 
 
+def _outcome(result: Result) -> str:
+    outcome = "passed" if not result.violations else f"FAILED ({len(result.violations)})"
+    return f"seed {result.schedule.seed}: {outcome}"
+
+
+def _kinds_line(history) -> str:
+    """The troubles that were played."""
+    return " ".join(span.kind for span in history.spans)
+
+
 def _print(result: Result, seconds: float) -> None:
     history = result.history
     statuses = collections.Counter(attempt.status for attempt in history.attempts)
-    kinds = " ".join(span.kind for span in history.spans)
-    outcome = "passed" if not result.violations else f"FAILED ({len(result.violations)})"
-    print(f"seed {result.schedule.seed}: {outcome}; {len(history.attempts)} requests "
+    print(f"{_outcome(result)}; {len(history.attempts)} requests "
           f"({statuses[200]} served, {statuses[503]} refused, {statuses[502]} and "
           f"{statuses[504]} failed, {statuses[0]} without an answer), {len(history.runs)} runs, "
           f"{sum(bool(put.acknowledged_at) for put in history.puts)} orders, "
-          f"{len(history.reads)} reads; {kinds}; {_times_line(history)}; "
+          f"{len(history.reads)} reads; {_kinds_line(history)}; {_times_line(history)}; "
           f"explained: {_reasons_line(history)}; {seconds:.0f} s",
           flush=True)
     _print_violations(result)
@@ -96,12 +104,11 @@
 def _print_databases(result: Result, seconds: float) -> None:
     history = result.history
     codes = collections.Counter(statement.code or "done" for statement in history.statements)
-    kinds = " ".join(span.kind for span in history.spans)
-    outcome = "passed" if not result.violations else f"FAILED ({len(result.violations)})"
     sync = int(any(promotion.is_synchronous for promotion in history.promotions))
-    print(f"seed {result.schedule.seed}: {outcome}; {len(history.statements)} statements "
+    print(f"{_outcome(result)}; {len(history.statements)} statements "
           f"({', '.join(f'{count} {code}' for code, count in codes.most_common())}), sync {sync}, "
-          f"{len(history.promotions)} promotions; {kinds}; {seconds:.0f} s", flush=True)
+          f"{len(history.promotions)} promotions; {_kinds_line(history)}; {seconds:.0f} s",
+          flush=True)
     _print_violations(result)
 
 
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -87,15 +87,10 @@
     return runs
 
 
-def _is_broker_calm(history: History, broker: str, since: float, until: float) -> bool:
-    return not any(broker in span.nodes and span.began_at <= until
-                   and (span.ended_at == 0 or span.ended_at >= since) for span in history.spans)
-
-
 def _are_brokers_calm(history: History, since: float, until: float) -> bool:
-    """The same of all brokers."""
+    """Whether no trouble was going on at any broker."""
     brokers = {life.node for life in history.lives if life.node.startswith("broker")}
-    return all(_is_broker_calm(history, broker, since, until) for broker in brokers)
+    return all(history.is_node_calm(broker, since, until) for broker in brokers)
 
 
 def check_gone(history: History) -> Iterator[Violation]:
@@ -106,7 +101,7 @@
         if not attempt.left_at or not attempt.is_read_whole:
             continue
         until = attempt.left_at + GONE_S
-        if not _is_broker_calm(history, attempt.broker, attempt.sent_at - IN_TOUCH_S, until):
+        if not history.is_node_calm(attempt.broker, attempt.sent_at - IN_TOUCH_S, until):
             continue
         for run in runs[attempt.request.try_id]:
             if run.began_at > until:
@@ -138,8 +133,8 @@
         has_sound_run = any(run.is_sound and not run.is_forgotten
                             for run in runs[attempt.request.try_id])
         is_late = attempt.ended_at - attempt.sent_at >= GIVE_UP_MS / 1000
-        if has_sound_run and not is_late and _is_broker_calm(
-                history, attempt.broker, attempt.sent_at - IN_TOUCH_S, attempt.ended_at):
+        if has_sound_run and not is_late and history.is_node_calm(
+                attempt.broker, attempt.sent_at - IN_TOUCH_S, attempt.ended_at):
             cut[attempt.broker].append(attempt.request.try_id)
     for broker, ids in cut.items():
         if len(ids) > MAX_CUT_KEPT:
--- a/tools/soak/cluster.py
+++ b/tools/soak/cluster.py
@@ -5,6 +5,7 @@
 import shutil
 import signal
 import socket
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -289,3 +290,14 @@
             node.send_signal(signal.SIGCONT)
             node.kill()
         self._hole.close()
+
+
+@asynccontextmanager
+async def opened(fleet, cluster: SoakCluster):
+    """Opens the stand-ins around a cluster; ends the cluster and them however the run ends."""
+    await fleet.open()
+    try:
+        yield
+    finally:
+        await cluster.close()
+        await fleet.close()
--- a/tools/soak/database_checker.py
+++ b/tools/soak/database_checker.py
@@ -1,17 +1,14 @@
 """Judges the history of a run of databases; knows nothing of how it came about."""
 from collections.abc import Iterator
 
-from soak.checker import Violation, check_invariants, check_own_ends, check_problems
+from soak.checker import (IN_TOUCH_S, MAX_CUT_KEPT, MIN_CALM_SERVED_SHARE, Violation,
+                          check_invariants, check_own_ends, check_problems)
 from soak.database_history import DatabaseHistory, Statement
 
-MIN_CALM_SERVED_SHARE = 0.9
+GIVE_UP_MS = 3000  # of all routes
 MIN_CALM_STATEMENTS = 20
 
-MAX_UNANSWERED = 3
-
 _UNFREEZE_S = 0.3  # a write of a pooler that was troubled since is not judged
-_IN_TOUCH_S = 5.0
-_GIVE_UP_S = 3.0
 _PROMISES = frozenset(("BUSY", "UNDONE", "LAGGING", "READONLY", "WRONGHOST", "FULL"))
 
 
@@ -79,11 +76,11 @@
     for statement in history.statements:
         if (statement.has_ended_sending and statement.code == "no answer"
                 and statement.thing in kept[history.services[statement.database]]
-                and history.is_calm(statement.sent_at - _IN_TOUCH_S,
-                                    statement.sent_at + _GIVE_UP_S)):
+                and history.is_calm(statement.sent_at - IN_TOUCH_S,
+                                    statement.sent_at + GIVE_UP_MS / 1000)):
             unanswered.setdefault(statement.pooler, []).append(statement.thing)
     for pooler, things in unanswered.items():
-        if len(things) > MAX_UNANSWERED:
+        if len(things) > MAX_CUT_KEPT:
             yield Violation("LOST", f"{pooler} passed {len(things)} writes on and closed without "
                                     f"an answer: {things[:5]}")
 
@@ -115,6 +112,5 @@
 
 def _is_troubled(history: DatabaseHistory, statement: Statement) -> bool:
     """Whether the statement's pooler was in trouble shortly before it, or meanwhile."""
-    return any(statement.pooler in span.nodes and span.began_at <= statement.ended_at
-               and (span.ended_at == 0 or span.ended_at >= statement.sent_at - _UNFREEZE_S)
-               for span in history.spans)
+    return not history.is_node_calm(statement.pooler, statement.sent_at - _UNFREEZE_S,
+                                    statement.ended_at)
--- a/tools/soak/database_scenario.py
+++ b/tools/soak/database_scenario.py
@@ -8,7 +8,7 @@
 from mixed_versions.builds import Build
 from mixed_versions.node import NodeKind
 from soak import database_checker as checker
-from soak.cluster import REGIONS, SoakCluster
+from soak.cluster import REGIONS, SoakCluster, opened
 from soak.database_clients import DatabaseClients
 from soak.database_history import DatabaseHistory
 from soak.databases import DatabaseGroup
@@ -127,8 +127,8 @@
     def _configuration(self, version: int) -> bytes:
         groups = self._fleet.groups[:version]
         routes = [{"name": f"shop-{number}", "host": f"shop-{number}", "path_start": "/",
-                   "sort": "leader", "give_up_ms": 3000, "target_ms": 500, "rank": 1,
-                   "service": group.service, "tries": 2, "read_age_ms": 1500}
+                   "sort": "leader", "give_up_ms": checker.GIVE_UP_MS, "target_ms": 500,
+                   "rank": 1, "service": group.service, "tries": 2, "read_age_ms": 1500}
                   for number, group in enumerate(groups, 1)]
         services = [{"name": group.service, "health_path": "/", "most_connections": 100,
                      "protocol": "h1", "encrypted": False, "sync": int(group.is_synchronous)}
@@ -161,12 +161,8 @@
 
     async def run(self) -> Result:
         """Runs to the end and judges."""
-        await self._fleet.open()
-        try:
+        async with opened(self._fleet, self._cluster):
             await self._play()
-        finally:
-            await self._cluster.close()
-            await self._fleet.close()
         kept = {group.service: frozenset(group.primary().values) for group in self._fleet.groups
                 if group.primary() is not None}
         self._violations += checker.check_all(self.history, kept)
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -84,7 +84,11 @@
     kind: str
     nodes: tuple[str, ...]
     began_at: float
-    ended_at: float = 0.0
+    ended_at: float = 0.0  # 0: goes on
+
+    def overlaps(self, since: float, until: float) -> bool:
+        """Whether it was going on at any moment from `since` to `until`."""
+        return self.began_at <= until and (self.ended_at == 0 or self.ended_at >= since)
 
 
 @dataclass
@@ -127,5 +131,8 @@
 
     def is_calm(self, since: float, until: float) -> bool:
         """Whether no trouble was going on at any moment from `since` to `until`."""
-        return not any(span.began_at <= until and (span.ended_at == 0 or span.ended_at >= since)
-                       for span in self.spans)
+        return not any(span.overlaps(since, until) for span in self.spans)
+
+    def is_node_calm(self, node: str, since: float, until: float) -> bool:
+        """The same of one node."""
+        return not any(node in span.nodes and span.overlaps(since, until) for span in self.spans)
--- a/tools/soak/scenario.py
+++ b/tools/soak/scenario.py
@@ -12,7 +12,7 @@
 from soak.backends import Fleet
 from soak.checker import Violation
 from soak.clients import Clients
-from soak.cluster import SoakCluster, SoakNode
+from soak.cluster import SoakCluster, SoakNode, opened
 from soak.history import History, now
 from soak.http_streams import call, make_request_bytes
 from soak.observer import OBSERVE_EVERY_S, NodeObserver
@@ -70,12 +70,8 @@
 
     async def run(self) -> Result:
         """Runs to the end and judges."""
-        await self._fleet.open()
-        try:
+        async with opened(self._fleet, self._cluster):
             await self._play()
-        finally:
-            await self._cluster.close()
-            await self._fleet.close()
         self._violations += checker.check_all(self.history, self._ledger, self._clients.once_ids)
         return Result(self._schedule, self.history, self._violations)
 
