Tests of sessions: giving a message without carrying it is one function

Cause: three new tests and an old one wrote it out, five times. Change: give_alone in the fixture, which `give` calls as well.

--- a/tests/coordination/databases/database_fixture.h
+++ b/tests/coordination/databases/database_fixture.h
@@ -214,11 +214,15 @@
     give(client, encode_query("try" + std::to_string(++last_try), text));
   }
   void give(Client& client, std::string bytes) {
+    give_alone(client, std::move(bytes));
+    pump();
+  }
+  // Gives one message; what it causes is under way until `pump`.
+  void give_alone(Client& client, std::string bytes) {
     DatabaseMessage message;
     cr_assert(read_database_message(bytes, message) == DatabaseReadResult::complete);
     client.last_contact.clear();
     client.session->handle_message(std::move(message), Clock::now());
-    pump();
   }
   void pump() {
     for (bool has_moved = true; has_moved;) {
--- a/tests/coordination/databases/database_session_test.cpp
+++ b/tests/coordination/databases/database_session_test.cpp
@@ -132,9 +132,7 @@
         stage.say(client, "BEGIN");
         stage.say(client, "READ first");
       }
-      client.last_contact.clear();
-      DatabaseMessage message{DatabaseMessageKind::query, {"last", text}};
-      client.session->handle_message(std::move(message), Clock::now());
+      stage.give_alone(client, encode_query("last", text));
       cr_assert(client.session->end_input(Clock::now()));
       stage.pump();
       cr_expect(client.verdict().empty() &&
@@ -156,9 +154,7 @@
   stage.say(client, "READ first");
   stage.databases["leader"].strike_at = stage.databases["leader"].messages + 1;
   stage.databases["leader"].injected_fault = StandIn::InjectedFault::cut_after;
-  client.last_contact.clear();
-  DatabaseMessage message{DatabaseMessageKind::query, {"last", "READ a"}};
-  client.session->handle_message(std::move(message), Clock::now());
+  stage.give_alone(client, encode_query("last", "READ a"));
   cr_assert(client.session->end_input(Clock::now()));
   stage.say(waiting, "READ b");
   cr_expect(client.verdict() == "UNDONE" && client.session->state() == Session::State::idle);
@@ -175,10 +171,8 @@
     DatabaseSessionFixture::Client client(stage);
     stage.start(client);
     stage.say(client, "READ first");
-    client.last_contact.clear();
+    stage.give_alone(client, encode_query("last", text));
     const TimePoint now = Clock::now();
-    DatabaseMessage message{DatabaseMessageKind::query, {"last", text}};
-    client.session->handle_message(std::move(message), now);
     const TimePoint deadline = client.due;
     cr_assert(client.session->end_input(now));
     const bool is_write = text == "WRITE a 1";
@@ -254,18 +248,11 @@
   cr_expect(client.verdict() == "BUSY", "a promise, as nothing left");
   // The hold ends while the outcome is on its way.
   stage.has_lease = true;
-  DatabaseMessage message;
-  std::string bytes = encode_query("t", "WRITE b 1");
-  read_database_message(bytes, message);
-  client.last_contact.clear();
-  client.session->handle_message(std::move(message), Clock::now());
+  stage.give_alone(client, encode_query("t", "WRITE b 1"));
   for (int round = 0; round < 2 && stage.databases["leader"].log.empty(); ++round)
     stage.pump();
   cr_expect(stage.databases["leader"].log.size() == 1 && client.verdict().empty());
-  bytes = encode_query("u", "WRITE c 1");
-  read_database_message(bytes, message);
-  client.last_contact.clear();
-  client.session->handle_message(std::move(message), Clock::now());
+  stage.give_alone(client, encode_query("u", "WRITE c 1"));
   stage.has_lease = false;
   stage.pump();
   cr_expect(client.verdict() == "UNKNOWN");
