Fault library: tell a socket as ready once more behind its peer's end

Whether a server takes any readiness behind the end of input for a broken connection could not be played: this kernel reports none there. A rule `ended_flags` hands out one more event of epoll_wait for each socket whose peer ended its sending, with flags of our choice.

--- a/tests/soak/network_faults.cpp
+++ b/tests/soak/network_faults.cpp
@@ -11,6 +11,9 @@
 //     reset ADDRESS         connections with ADDRESS break now; once for each new serial
 //     serial NUMBER         of the file
 //     hole ADDRESS:PORT     where unreachable connections hang
+//     ended_flags NUMBER    once its peer has ended its sending, a socket is told once more as
+//     ready,
+//                           with these flags of epoll_wait and whatever was asked for
 //     sync_ms NUMBER        every sync takes so much longer
 //     sync_fails            every sync fails with EIO
 //     disk_full             every write to a file in the data folder fails with ENOSPC
@@ -51,6 +54,7 @@
   std::set<in_addr_t> reset_with;
   std::uint64_t serial = 0;
   sockaddr_in hole{};
+  std::uint32_t ended_flags = 0;
   int sync_ms = 0;
   bool does_sync_fail = false;
   bool is_disk_full = false;
@@ -85,6 +89,8 @@
       rules.reset_with.insert(inet_addr(value.c_str()));
     else if (name == "serial")
       rules.serial = std::strtoull(value.c_str(), nullptr, 10);
+    else if (name == "ended_flags")
+      rules.ended_flags = static_cast<std::uint32_t>(std::strtoul(value.c_str(), nullptr, 0));
     else if (name == "sync_ms")
       rules.sync_ms = std::atoi(value.c_str());
     else if (name == "sync_fails")
@@ -151,12 +157,38 @@
   return true;
 }
 
-// Which descriptor an event of an epoll instance is of.
+// Which descriptor an event of an epoll instance is of, and which peers ended their sending.
 class EpollTable {
  public:
   void set(int instance, std::uint64_t data, int descriptor) {
     const std::lock_guard lock(mutex_);
     by_data_[{instance, data}] = descriptor;
+    by_descriptor_[descriptor] = {instance, data};
+  }
+  void forget(int descriptor) {
+    const std::lock_guard lock(mutex_);
+    by_descriptor_.erase(descriptor);
+    ended_.erase(descriptor);
+  }
+  void record_peer_end(int descriptor) {
+    const std::lock_guard lock(mutex_);
+    ended_.try_emplace(descriptor, false);
+  }
+  // Events of this instance that tell each peer's end once more.
+  int take_repeated_ends(int instance, std::uint32_t flags, epoll_event* events, int max_events) {
+    const std::lock_guard lock(mutex_);
+    int count = 0;
+    for (auto& [descriptor, was_repeated] : ended_) {
+      const auto found = by_descriptor_.find(descriptor);
+      const bool is_due = !was_repeated && found != by_descriptor_.end() &&
+                          found->second.first == instance && count < max_events;
+      if (!is_due)
+        continue;
+      was_repeated = true;
+      events[count].events = flags;
+      events[count++].data.u64 = found->second.second;
+    }
+    return count;
   }
   int find(int instance, std::uint64_t data) {
     const std::lock_guard lock(mutex_);
@@ -167,6 +199,8 @@
  private:
   std::mutex mutex_;
   std::map<std::pair<int, std::uint64_t>, int> by_data_;
+  std::map<int, std::pair<int, std::uint64_t>> by_descriptor_;
+  std::map<int, bool> ended_;  // whether it was told once more
 };
 
 EpollTable& epoll_table() {
@@ -272,6 +306,7 @@
   static const auto next = next_function<int (*)(int)>("close");
   if (is_known(descriptor))
     peers[descriptor] = 0;
+  epoll_table().forget(descriptor);
   return next(descriptor);
 }
 
@@ -283,7 +318,10 @@
     errno = EAGAIN;
     return -1;
   }
-  return next(descriptor, bytes, size, flags);
+  const ssize_t count = next(descriptor, bytes, size, flags);
+  if (count == 0 && size > 0 && rules->ended_flags != 0)
+    epoll_table().record_peer_end(descriptor);
+  return count;
 }
 
 int epoll_ctl(int instance, int operation, int descriptor, epoll_event* event) {
@@ -298,6 +336,10 @@
   const auto began = SteadyClock::now();
   for (;;) {
     const RulesSnapshot rules = current_rules();
+    if (rules->ended_flags != 0)
+      if (const int repeated =
+              epoll_table().take_repeated_ends(instance, rules->ended_flags, events, max_events))
+        return repeated;
     const auto waited =
         std::chrono::duration_cast<std::chrono::milliseconds>(SteadyClock::now() - began).count();
     const int left = timeout_ms < 0 ? -1 : static_cast<int>(std::max<long>(0, timeout_ms - waited));
