Sessions: readiness behind the end of input is no broken connection

Cause: DatabaseTransport::read took any readiness behind the peer's end, with nothing to send, for a broken connection. This kernel tells none there; another may, and the poller hands an error flag on as readable.

The end of input ends reading, nothing else; a connection is broken if a read or a send fails, or its socket has an error pending.

The test fails on the code before ("the socket itself has no error") and passes now.

--- a/src/transport/database_transport.cpp
+++ b/src/transport/database_transport.cpp
@@ -82,43 +82,36 @@
 }
 
 void DatabaseTransport::update_poller() {
-  const int read_mode = is_full_ || is_peer_done_ ? 0 : Poller::read;
-  const int write_mode = out_.empty() ? 0 : Poller::write;
-  poller_.change(tcp_.socket(), read_mode | write_mode);
+  poller_.change(tcp_.socket(), input_.poller_mode(!is_full_, !out_.empty()));
 }
 
 // What came before the end is delivered first: its answer may be what the peer waits for.
-void DatabaseTransport::handle_peer_end(bool is_in_order) {
-  if (is_in_order)
-    deliver_messages();
+void DatabaseTransport::handle_input_end() {
+  deliver_messages();
   if (state_ != State::open)
     return;
-  if (!is_in_order || !owner_.on_peer_done || !owner_.on_peer_done())
+  if (!owner_.on_peer_done || !owner_.on_peer_done())
     return end(DatabaseReadResult::incomplete);
-  is_peer_done_ = true;
   in_.clear();
   update_poller();
 }
 
 void DatabaseTransport::read() {
-  if (is_peer_done_) {  // nothing more is to be read but that the connection broke
-    if (out_.empty())
-      end(DatabaseReadResult::incomplete);
-    return;
-  }
   static thread_local char bytes[65536];
   for (;;) {
-    const Transfer received = tcp_.receive(bytes, sizeof bytes);
-    if (received.is_closed)
-      return handle_peer_end(received.is_peer_done);
-    if (!received.count)
+    const InputResult input = input_.receive(tcp_, bytes, sizeof bytes);
+    if (input.event == InputEvent::broken)
+      return end(DatabaseReadResult::incomplete);
+    if (input.event == InputEvent::ended)
+      return handle_input_end();
+    if (input.event == InputEvent::nothing)
       break;
     if (is_finishing_)
       continue;
-    in_.append(bytes, received.count);
+    in_.append(bytes, input.count);
     if (in_.size() > max_ahead)
       break;
-    if (received.count < sizeof bytes)
+    if (input.count < sizeof bytes)
       break;
   }
   deliver_messages();
--- a/src/transport/database_transport.h
+++ b/src/transport/database_transport.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "transport/database_message.h"
+#include "transport/peer_input.h"
 #include "transport/tcp_connection.h"
 
 namespace saddlewing {
@@ -36,7 +37,7 @@
     return state_ == State::ended;
   }
   bool is_peer_done() const {  // it sends no more, and is still to be answered
-    return is_peer_done_;
+    return input_.has_ended();
   }
   bool has_room() const {
     return out_.size() - sent_ < max_unsent;
@@ -53,7 +54,7 @@
   void flush();
   void deliver_messages();
   void end(DatabaseReadResult result);
-  void handle_peer_end(bool is_in_order);
+  void handle_input_end();
   void update_poller();  // watches for what can be read and is to be sent
   static constexpr std::size_t max_unsent = 8u << 20,
                                max_ahead = max_database_message_bytes + 65536;
@@ -64,8 +65,8 @@
   State state_ = State::ended;
   std::string in_, out_;
   std::size_t sent_ = 0;
-  bool is_finishing_ = false, is_delivering_ = false, is_full_ = false, is_paused_ = false,
-       is_peer_done_ = false;
+  PeerInput input_;
+  bool is_finishing_ = false, is_delivering_ = false, is_full_ = false, is_paused_ = false;
 };
 
 }  // namespace saddlewing
--- a/src/transport/tcp_connection.cpp
+++ b/src/transport/tcp_connection.cpp
@@ -65,14 +65,18 @@
   }
 }
 
-bool TcpConnection::is_connected_well() {
+bool TcpConnection::has_error() {
   try {
-    return socket_.impl()->socketError() == 0;
+    return socket_.impl()->socketError() != 0;
   } catch (const Poco::Exception&) {
-    return false;
+    return true;
   }
 }
 
+bool TcpConnection::is_connected_well() {
+  return !has_error();
+}
+
 int TcpConnection::own_port() const {
   try {
     return socket_.address().port();
--- a/src/transport/tcp_connection.h
+++ b/src/transport/tcp_connection.h
@@ -39,6 +39,7 @@
 
   Transfer send(const char* bytes, std::size_t count);
   Transfer receive(char* bytes, std::size_t count);
+  bool has_error();          // the socket has an error pending; asking for it takes it
   bool is_connected_well();  // after a connect in progress became writable
   int own_port() const;      // 0: it is not connected
   void finish_sending();
--- a/tests/transport/database_transport_test.cpp
+++ b/tests/transport/database_transport_test.cpp
@@ -81,6 +81,22 @@
   cr_expect(pair.texts.size() == 1, "nothing more is begun");
 }
 
+// Guards against a statement that runs and is never answered, since readiness behind the end of
+// input was taken for a broken connection.
+Test(database_transport, readiness_behind_the_end_of_input_is_no_break) {
+  Pair pair(true);
+  pair.send(query);
+  pair.peer.shutdownSend();
+  cr_assert(pair.turn_until([&] { return pair.transport->is_peer_done(); }));
+  for (const bool is_writable : {false, true, false, true})
+    pair.transport->on_ready(true, is_writable);
+  cr_assert(!pair.has_ended, "the socket itself has no error");
+  const std::string answer = encode_database_message(DatabaseMessageKind::ready, {"I", "1.1"});
+  cr_expect(pair.transport->send(answer));
+  pair.transport->finish();
+  cr_expect(pair.has_ended && pair.read_all() == answer);
+}
+
 Test(database_transport, who_ended_its_sending_and_is_owed_nothing_is_gone) {
   Pair pair(false);
   pair.send(query);
