HTTP: who ends its input behind whole requests gets its answers

Cause: ServerExchange::read took the end of the client's bytes for its leaving.

Change: by PeerInput the end of input ends reading and nothing else. The requests that came whole are answered in their turn, pipelined ones too, and the connection ends after the last; an end inside a request is none. A client that is gone looks the same until something is sent to it, so a broker begins nothing later than 400 ms from then, and works no longer on what may be repeated: a gather is answered with the parts that are in, anything else with an error. What runs once and has begun has its whole time. A gather that another broker cancels ends at once, since the one that asked has waited as long as it may. Registries answer as always. Requests that end so are explained by stop=input_ended; two metrics count ends of input and breaks beside something under way.

--- a/src/broker/backend_connection.cpp
+++ b/src/broker/backend_connection.cpp
@@ -16,9 +16,7 @@
 constexpr Duration past_deadline{
     100};  // how long an asking is still waited for after its errand's deadline
 constexpr Duration max_idle_duration{20000};
-constexpr Duration borrowed_idle{300};  // of a connection that others need as well
-// How long an attempt that nobody waits for may still end by itself. The rules give half a second.
-constexpr Duration abandoned_wait{200};
+constexpr Duration borrowed_idle{300};    // of a connection that others need as well
 constexpr std::size_t turns_at_once = 4;  // when a slot came free
 constexpr double stalled_times =
     6;  // so many times the usual, and at least stalled_least: it stalls
@@ -121,11 +119,11 @@
   return std::move(context_);
 }
 
-void BackendConnection::abandon(TimePoint now) {
-  if (!caller_.has_sent())
+void BackendConnection::abandon(TimePoint until, TimePoint now) {
+  if (!caller_.has_sent() || until <= now)
     return break_off(now);
   is_abandoned_ = true;
-  loop_.timers_.set(*this, now + abandoned_wait);
+  loop_.timers_.set(*this, until);
 }
 
 // Nothing of the request arrives any more, and whoever works on it sees its connection end.
--- a/src/broker/broker_delegated_gather.cpp
+++ b/src/broker/broker_delegated_gather.cpp
@@ -194,7 +194,7 @@
 void BrokerLoop::handle_gather_cancel(const DelegationCancelled& cancelled, TimePoint now) {
   const auto found = delegated_works_.find({cancelled.routing_id, cancelled.cancel.token});
   if (found != delegated_works_.end())
-    abandon(*found->second, now);
+    abandon(*found->second, now, now);  // the asking broker has waited as long as it may
 }
 
 // Another broker's asking: backends of this region, once each.
--- a/src/broker/broker_loop.cpp
+++ b/src/broker/broker_loop.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "broker/request_head.h"
+#include "coordination/routing/ended_input.h"
 #include "process/end_margin.h"
 #include "protocol/discovery_messages.h"
 #include "protocol/http_calls.h"
@@ -15,6 +16,8 @@
 
 constexpr Duration still_chosen{
     2500};  // after SIGTERM the platform may go on sending for two missed checks
+// How long an attempt that nobody waits for may still end by itself.
+constexpr Duration abandoned_wait{200};
 
 }  // namespace
 
@@ -150,6 +153,8 @@
       std::make_unique<ProxiedRequest>(*this, table_, *route, exchange.began(), time_left);
   if (placed)
     proxied_request->choose(*placed);
+  if (exchange.has_input_ended())
+    proxied_request->end_input(exchange.input_ended_at());
   context->proxied_request = proxied_request.get();
   context->requester = std::move(proxied_request);
   contexts_[context->proxied_request] = context;
@@ -177,24 +182,46 @@
   by_exchange_.erase(found);
   if (const auto context = contexts_.find(proxied_request); context != contexts_.end())
     record_failure(*context->second, "client left", 0, Clock::now());
-  cancel_delegation(*proxied_request);
-  abandon(*proxied_request, Clock::now());
+  const TimePoint now = Clock::now();
+  TimePoint until = now + abandoned_wait;
+  if (exchange.has_input_ended())
+    until = std::min(until, exchange.input_ended_at() + max_work_after_input_end);
+  abandon(*proxied_request, until, now);
 }
 
-// Nobody waits for its result any more: no further attempt, and those under way are broken off
-// where they may be. What must not run twice is left to its backend, which may be midway in it.
-void BrokerLoop::abandon(Requester& requester, TimePoint now) {
+void BrokerLoop::on_input_end(ServerExchange& exchange, TimePoint now) {
+  if (const auto parked = parked_.find(exchange.id()); parked != parked_.end())
+    timers_.set(*parked->second, std::min(parked->second->until, now + max_work_after_input_end));
+  const auto found = by_exchange_.find(exchange.id());
+  if (found == by_exchange_.end())
+    return;
+  found->second->end_input(now);
+  if (const auto context = contexts_.find(found->second); context != contexts_.end())
+    arrange(*context->second);
+}
+
+// Nobody waits for its result any more: no further attempt, and those under way may end by
+// themselves until then.
+void BrokerLoop::abandon(Requester& requester, TimePoint until, TimePoint now) {
   requester.abandon();
   const auto found = contexts_.find(&requester);
   if (found == contexts_.end())
     return;
   const RequestContextPointer context = found->second;
-  if (requester.is_repeatable())
-    for (BackendConnection* connection : std::vector<BackendConnection*>(context->at_work))
-      connection->abandon(now);
+  stop_attempts(*context, until, now);
   end_context(&requester);
 }
 
+// Attempts under way are broken off where they may be. What must not run twice is left to its
+// backend, which may be midway in it.
+void BrokerLoop::stop_attempts(const RequestContext& context, TimePoint until, TimePoint now) {
+  cancel_delegation(*context.requester);
+  if (!context.requester->is_repeatable())
+    return;
+  for (BackendConnection* connection : std::vector<BackendConnection*>(context.at_work))
+    connection->abandon(until, now);
+}
+
 // Wires may still hold the trip; it is freed between rounds at the earliest.
 void BrokerLoop::end_context(const Requester* requester) {
   const auto found = contexts_.find(requester);
@@ -264,6 +291,8 @@
   if (found == contexts_.end())
     return;
   const RequestContextPointer context = found->second;
+  if (proxied_request.has_input_ended())  // the client may be gone, and needs no more than this
+    stop_attempts(*context, proxied_request.attempts_until(), now);
   if (answer.kind != ErrorCode::none)
     record_failure(*context, make_error_code(answer.kind).message(),
                    status_line_of(answer.kind).status, now);
--- a/src/broker/broker_loop.h
+++ b/src/broker/broker_loop.h
@@ -64,9 +64,9 @@
   BackendConnection(BrokerLoop& loop, BackendPointer backend);
   ~BackendConnection() override;
   bool ask(RequestContextPointer context, std::size_t part, TimePoint now);
-  // Nobody waits for the attempt under way any more. It may still end for a moment, so that the
+  // Nobody waits for the attempt under way any more. It may still end until then, so that the
   // connection can be used again; then the connection is closed, and the backend stops.
-  void abandon(TimePoint now);
+  void abandon(TimePoint until, TimePoint now);
   bool is_ended() const {
     return caller_.state() == HttpClientConnection::State::ended;
   }
@@ -142,6 +142,7 @@
 
   void on_request(ServerExchange& exchange, TimePoint now) override;
   void on_gone(ServerExchange& exchange) override;
+  void on_input_end(ServerExchange& exchange, TimePoint now) override;
   void on_refused(ServerExchange& exchange, ErrorCode kind, TimePoint now) override;
   bool send_attempt(Requester& requester, std::size_t part, Backend& backend,
                     TimePoint now) override;
@@ -192,6 +193,7 @@
     }
     BrokerLoop& loop;
     ExchangeId exchange;
+    TimePoint until{};
     void on_due(TimePoint now) override;
   };
   void begin(ServerExchange& exchange, const RequestContext* before,
@@ -205,7 +207,8 @@
   void report_ring();
   static bool is_near(const Backend& backend, const std::string& region, TimePoint now);
   void end_context(const Requester* requester);
-  void abandon(Requester& requester, TimePoint now);
+  void abandon(Requester& requester, TimePoint until, TimePoint now);
+  void stop_attempts(const RequestContext& context, TimePoint until, TimePoint now);
   void cancel_delegation(const Requester& requester);
   void handle_gather_cancel(const DelegationCancelled& cancelled, TimePoint now);
   void arrange(RequestContext& context);
--- a/src/broker/broker_ring.cpp
+++ b/src/broker/broker_ring.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "broker/broker_loop.h"
+#include "coordination/routing/ended_input.h"
 
 namespace saddlewing {
 namespace {
@@ -68,7 +69,9 @@
     return true;
   }
   context.position.reset();
-  const TimePoint until = exchange.began() + std::min(route.target, route.give_up);
+  TimePoint until = exchange.began() + std::min(route.target, route.give_up);
+  if (exchange.has_input_ended())
+    until = std::min(until, exchange.input_ended_at() + max_work_after_input_end);
   if (parked_.size() >= max_parked || now >= until) {
     metrics().add(Metric::refusals);
     exchange.answer(come_back(), now);
@@ -78,6 +81,7 @@
   if (!parked)
     parked = std::make_unique<Parked>(*this);
   parked->exchange = exchange.id();
+  parked->until = until;
   timers_.set(*parked, until);
   return false;
 }
--- a/src/coordination/routing/proxied_request.cpp
+++ b/src/coordination/routing/proxied_request.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "coordination/routing/ended_input.h"
 #include "state/invariants.h"
 #include "state/metrics.h"
 
@@ -78,8 +79,22 @@
   });
 }
 
-bool ProxiedRequest::may_retry(const Part& part) const {
-  return !part.is_done && !part.is_failed &&
+void ProxiedRequest::end_input(TimePoint ended_at) {
+  has_input_ended_ = true;
+  attempts_until_ = std::min(attempts_until_, ended_at + max_work_after_input_end);
+  due_ = std::min(due_, attempts_until_);
+  if (!route_.is_harmless)
+    return;
+  deadline_ = std::min(deadline_, attempts_until_);
+  partial_response_at_ = std::min(partial_response_at_, deadline_ - 1ms);
+}
+
+StopReason ProxiedRequest::reason_without_retry(TimePoint now) const {
+  return now >= attempts_until_ ? StopReason::input_ended : StopReason::tries_used;
+}
+
+bool ProxiedRequest::may_retry(const Part& part, TimePoint now) const {
+  return !part.is_done && !part.is_failed && now < attempts_until_ &&
          part.attempts_before_restart + part.attempts_sent < route_.tries &&
          part.attempts_unreached < max_unreached_attempts;
 }
@@ -88,6 +103,11 @@
   Part& part = parts_[index];
   const Service& service = service_of(part);
   const bool is_retry = part.attempts_sent > 0;
+  if (now >= attempts_until_) {
+    if (!part.attempts_active)
+      fail_part(part, ErrorCode::overloaded, StopReason::input_ended);
+    return;
+  }
   if (is_retry &&
       !callbacks_.retry_budget(service.name).allows_retry(now, callbacks_.retry_reserve(now))) {
     if (!part.attempts_active)
@@ -106,7 +126,7 @@
   part.tried.push_back(picked.backend);
   if (!callbacks_.send_attempt(*this, index, *picked.backend, now)) {
     ++part.attempts_unreached;
-    if (!is_hedge && may_retry(part))
+    if (!is_hedge && may_retry(part, now))
       start_attempt(index, false, now);
     else if (!part.attempts_active)
       fail_part(part, ErrorCode::refused_connection, StopReason::unreachable);
@@ -224,10 +244,10 @@
   Part& part = parts_[index];
   if (part.attempts_active)
     return;
-  if (may_retry(part))
+  if (may_retry(part, now))
     start_attempt(index, false, now);
   else
-    fail_part(part, kind, StopReason::tries_used);
+    fail_part(part, kind, reason_without_retry(now));
 }
 
 void ProxiedRequest::handle_failure(std::size_t index, ErrorCode kind, bool may_have_run,
@@ -254,7 +274,7 @@
 
 void ProxiedRequest::finish_at_deadline(TimePoint now) {
   if (stop_reason_ == StopReason::none)
-    stop_reason_ = StopReason::deadline;
+    stop_reason_ = deadline_ == attempts_until_ ? StopReason::input_ended : StopReason::deadline;
   if (failure_ == ErrorCode::none || status_line_of(failure_).status == 503) {
     const bool may_have_run = has_executed_ || done_ > 0 || state_ != State::queued;
     failure_ = may_have_run ? ErrorCode::deadline_reached : ErrorCode::overloaded;
@@ -281,7 +301,7 @@
     if (!part.attempts_active)
       start_attempt(index, false, now);
     else if (route_.is_harmless && part.attempts_active == 1 &&
-             now - part.attempted_at >= hedge_delay(part) && may_retry(part))
+             now - part.attempted_at >= hedge_delay(part) && may_retry(part, now))
       start_attempt(index, true, now);
   }
   if (is_open())
@@ -335,7 +355,8 @@
         is_enqueued_ = callbacks_.enqueue(*this, now);
       if (!is_enqueued_)
         due_ = std::min(due_, now + queue_poll_interval);
-    } else if (route_.is_harmless && part.attempts_active == 1 && may_retry(part)) {
+      due_ = std::min(due_, attempts_until_);
+    } else if (route_.is_harmless && part.attempts_active == 1 && may_retry(part, now)) {
       const TimePoint hedge_at = part.attempted_at + hedge_delay(part);
       if (hedge_at > now)
         due_ = std::min(due_, hedge_at);
--- a/src/coordination/routing/proxied_request.h
+++ b/src/coordination/routing/proxied_request.h
@@ -113,6 +113,18 @@
     state_ = State::closed;
   }
 
+  // The client ended its input at `ended_at`: it may be gone, or wait for its answer. From then on
+  // max_work_after_input_end bounds what is begun, and all work that may be repeated. May be called
+  // before the start, and again.
+  void end_input(TimePoint ended_at);
+  bool has_input_ended() const {
+    return has_input_ended_;
+  }
+  // Until when a client that ended its input may be worked for.
+  TimePoint attempts_until() const {
+    return attempts_until_;
+  }
+
   // The client left.
   void abandon() override {
     state_ = State::closed;
@@ -216,7 +228,9 @@
   // After an attempt failed; does nothing while another one for the part is under way.
   void retry_or_fail(std::size_t index, ErrorCode kind, TimePoint now);
   void fail_part(Part& part, ErrorCode kind, StopReason reason);
-  bool may_retry(const Part& part) const;
+  bool may_retry(const Part& part, TimePoint now) const;
+  // Why a part that failed gets no further attempt.
+  StopReason reason_without_retry(TimePoint now) const;
   const Service& service_of(const Part& part) const {
     return table_->configuration->services[part.service.value];
   }
@@ -252,8 +266,11 @@
   std::optional<ServiceIndex> chosen_;
   const Route& route_;  // within table_'s configuration
   const TimePoint began_;
-  const TimePoint deadline_;
-  const TimePoint partial_response_at_;  // from here on a gather may leave parts out
+  // The end of input may bring the next two forward.
+  TimePoint deadline_;
+  TimePoint partial_response_at_;                // from here on a gather may leave parts out
+  TimePoint attempts_until_ = TimePoint::max();  // no attempt begins later
+  bool has_input_ended_ = false;                 // the client's
   TimePoint due_;
   State state_ = State::matching;
   bool is_enqueued_ = false;  // in the broker's queue, until on_dequeued or on_evicted
--- a/src/coordination/routing/stop_reason.h
+++ b/src/coordination/routing/stop_reason.h
@@ -13,6 +13,7 @@
   may_have_run,        // it must not run twice
   unreachable,         // no connection to a backend could be set up
   deadline,            // the route's give_up_ms or the client's Time-Left
+  input_ended,         // the client ended its input, and may be gone
 };
 
 constexpr std::string_view name_of(StopReason reason) {
@@ -33,6 +34,8 @@
       return "unreachable";
     case StopReason::deadline:
       return "deadline";
+    case StopReason::input_ended:
+      return "input_ended";
   }
   return "none";
 }
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -80,6 +80,10 @@
 
   // Counted by several.
 
+  /** Clients that ended their sending while something of theirs was under way. */
+  client_input_ends,
+  /** Connections of clients that broke while something of theirs was under way. */
+  client_breaks,
   /** Version of the configuration in force here. */
   configuration_version,
   /** Revision of the view of edges in force here, in this leader's term. */
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "state/metrics.h"
+
 namespace saddlewing {
 namespace {
 
@@ -67,37 +69,60 @@
     read(now);
 }
 
+bool ServerExchange::is_full() const {
+  return state_ != State::reading && in_.size() >= max_ahead;
+}
+
+void ServerExchange::update_poller() {
+  server_.poller_.change(tcp_.socket(), input_.poller_mode(!is_full(), !out_.empty()));
+}
+
 void ServerExchange::read(TimePoint now) {
   char bytes[16384];
   for (int round = 0; round < 4 && state_ != State::closed; ++round) {
-    if (state_ != State::reading &&
-        in_.size() >= max_ahead) {  // enough is waiting: the rest stays in the socket
-      server_.poller_.change(tcp_.socket(), out_.empty() ? 0 : Poller::write);
-      return;
-    }
-    const Transfer got = tcp_.receive(bytes, sizeof bytes);
-    if (got.is_closed) {
-      has_ended_ = true;
-      if (state_ == State::handling)
-        server_.handler_.on_gone(*this);
-      return close();
-    }
-    if (!got.count)
+    if (is_full())
+      return update_poller();  // the rest stays in the socket
+    const InputResult input = input_.receive(tcp_, bytes, sizeof bytes);
+    if (input.event == InputEvent::broken)
+      return handle_break();
+    if (input.event == InputEvent::ended)
+      return handle_input_end(now);
+    if (input.event == InputEvent::nothing)
       return;
     if (state_ == State::closing)
       continue;
-    in_.append(bytes, got.count);
+    in_.append(bytes, input.count);
     moved_ = now;
     count_held();
     if (state_ == State::reading && server_.held_ > server_.max_held_)
       return refuse(ErrorCode::overloaded, now);
     if (state_ == State::reading)
       advance(now);
-    if (got.count < sizeof bytes)
+    if (input.count < sizeof bytes)
       return;
   }
 }
 
+// What was read whole is answered; an end inside a request is none.
+void ServerExchange::handle_input_end(TimePoint now) {
+  if (state_ == State::reading || state_ == State::closing)
+    return close();
+  input_ended_at_ = now;
+  update_poller();
+  if (state_ != State::handling)
+    return;
+  metrics().add(Metric::client_input_ends);
+  server_.handler_.on_input_end(*this, now);
+}
+
+void ServerExchange::handle_break() {
+  if (state_ == State::handling) {
+    metrics().add(Metric::client_breaks);
+    server_.handler_.on_gone(*this);
+  }
+  close();
+}
+
 void ServerExchange::count_held() {
   const std::size_t holds = in_.size() + out_.size() - sent_ + reader_.body().size();
   server_.held_ += holds - held_;
@@ -110,6 +135,8 @@
   while (state_ == State::reading && take_next(now)) {
   }
   is_advancing_ = false;
+  if (state_ == State::reading && has_input_ended())
+    close();  // no further request came whole
 }
 
 bool ServerExchange::take_next(TimePoint now) {
@@ -139,6 +166,8 @@
   state_ = State::handling;
   server_.timers_.drop(*this);
   is_head_ = request().getMethod() == "HEAD";
+  if (has_input_ended())
+    input_ended_at_ = now;
   server_.handler_.on_request(*this, now);
   return true;
 }
@@ -168,27 +197,24 @@
 void ServerExchange::flush(TimePoint now) {
   while (sent_ < out_.size()) {
     const Transfer gone = tcp_.send(out_.data() + sent_, out_.size() - sent_);
-    if (gone.is_closed) {
-      if (state_ == State::handling)
-        server_.handler_.on_gone(*this);
-      return close();
-    }
-    if (!gone.count) {
-      server_.poller_.change(tcp_.socket(), Poller::read | Poller::write);
-      return;
-    }
+    if (gone.is_closed)
+      return handle_break();
+    if (!gone.count)
+      return update_poller();
     sent_ += gone.count;
     moved_ = now;
   }
   out_.clear();
   sent_ = 0;
-  server_.poller_.change(tcp_.socket(), Poller::read);
+  update_poller();
   if (state_ == State::answering)
     settle(now);
 }
 
 // The answer is out whole: the next request, or the end.
 void ServerExchange::settle(TimePoint now) {
+  if (should_close_ && has_input_ended())
+    return close();  // nothing unread is left that would reset the connection
   if (should_close_) {
     state_ = State::closing;
     tcp_.finish_sending();
@@ -196,8 +222,8 @@
     return;
   }
   start_reading(now);
-  if (!in_.empty())
-    advance(now);
+  update_poller();
+  advance(now);
 }
 
 void ServerExchange::on_due(TimePoint now) {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "transport/http_message.h"
+#include "transport/peer_input.h"
 #include "transport/tcp_connection.h"
 #include "transport/timer_queue.h"
 
@@ -32,6 +33,8 @@
 class HttpServer;
 
 // One connection of a client. Its way: Reading -> Handling -> Answering -> Reading or Closing.
+// Behind the end of the client's input the requests that came whole are answered in their turn, and
+// the connection ends after the last one.
 class ServerExchange final : public Watcher, public Scheduled {
  public:
   enum class State {
@@ -59,6 +62,15 @@
   TimePoint began() const {
     return began_;
   }  // when the first byte of the request was seen
+  // The client sends nothing more: it may be gone, or wait for its answers.
+  bool has_input_ended() const {
+    return input_.has_ended();
+  }
+  // Since when nothing has shown whether that client is still there: the end of its input, or the
+  // answer to its request before, which would have broken the connection of one that left.
+  TimePoint input_ended_at() const {
+    return input_ended_at_;
+  }
   void answer(const Reply& reply, TimePoint now);
 
   void on_ready(bool is_readable, bool is_writable) override;
@@ -67,6 +79,10 @@
  private:
   friend class HttpServer;
   void read(TimePoint now);
+  void handle_input_end(TimePoint now);
+  void handle_break();
+  bool is_full() const;  // enough is waiting behind the request at work
+  void update_poller();
   void advance(TimePoint now);
   bool take_next(TimePoint now);  // whether a request was whole and handed on
   void flush(TimePoint now);
@@ -79,15 +95,16 @@
   HttpServer& server_;
   ExchangeId id_;
   TcpConnection tcp_;
+  PeerInput input_;
   MessageReader reader_;
   State state_ = State::reading;
   std::string in_, out_;
   std::size_t sent_ = 0, held_ = 0;
-  bool should_close_ = false, is_head_ = false, has_continued_ = false, has_ended_ = false;
+  bool should_close_ = false, is_head_ = false, has_continued_ = false;
   bool is_advancing_ =
       false;  // requests answered at once are taken in turn, not each within the one before
   bool is_fresh_ = true;  // nothing of the next request has come yet
-  TimePoint began_{}, moved_{};
+  TimePoint began_{}, moved_{}, input_ended_at_{};
 };
 
 class HttpServer final : public Watcher {
@@ -96,8 +113,12 @@
    public:
     virtual ~Handler() = default;
     virtual void on_request(ServerExchange& exchange, TimePoint now) = 0;
-    virtual void on_gone(
-        ServerExchange& exchange) = 0;  // the client left while its request was handled
+    // The client's connection broke while its request was handled.
+    virtual void on_gone(ServerExchange& exchange) = 0;
+    // The client sends nothing more, and its request is still handled: it is to be answered. What
+    // is taken up behind that is told by `has_input_ended` alone.
+    virtual void on_input_end(ServerExchange&, TimePoint) {
+    }
     // A request was refused before it was whole.
     virtual void on_refused(ServerExchange&, ErrorCode, TimePoint) {
     }
--- a/tests/broker/exchange_fixture.h
+++ b/tests/broker/exchange_fixture.h
@@ -350,6 +350,8 @@
       if (count > 0)
         exchange.sent += static_cast<std::size_t>(count);
     }
+    if (exchange.sent == exchange.out.size() && std::exchange(exchange.ends_input, false))
+      ::shutdown(exchange.socket, SHUT_WR);
     if (exchange.sent == exchange.out.size() && exchange.leaves_after != SIZE_MAX)
       return end(exchange, Trouble::reset);
     char bytes[65536];
--- a/tests/broker/exchange_messages.h
+++ b/tests/broker/exchange_messages.h
@@ -42,6 +42,7 @@
   std::size_t leaves_after = SIZE_MAX;   // bytes sent, then the client resets its connection
   std::size_t reads_at_most = SIZE_MAX;  // bytes of the answer, then it resets
   bool keeps_open = false;               // more requests may follow
+  bool ends_input = false;               // behind the last request it sends nothing more, and waits
   int socket = -1;
   std::size_t sent = 0;
   std::string out, in;
--- a/tests/coordination/routing/proxied_request_test.cpp
+++ b/tests/coordination/routing/proxied_request_test.cpp
@@ -1,3 +1,4 @@
+#include "coordination/routing/ended_input.h"
 #include "coordination/routing/request_fixture.h"
 
 using namespace saddlewing;
@@ -201,3 +202,56 @@
     cr_expect(free.status() == status, "what may be repeated needs no promise");
   }
 }
+
+namespace {
+
+// The client of a request ends its input at `start`; this is when the work for it is over.
+constexpr TimePoint work_ends = start + max_work_after_input_end;
+
+}  // namespace
+
+Test(request, behind_the_end_of_input_a_gather_is_answered_with_what_is_in) {
+  RequestFixture fixture(gathered);
+  fixture.request->start(start);
+  for (std::size_t part = 0; part < 3; ++part)
+    fixture.deliver_response(part, RequestFixture::success_response("p" + std::to_string(part)));
+  fixture.request->end_input(start - 300ms);
+  cr_expect(fixture.request->next_due() <= work_ends - 300ms);
+  fixture.request->on_due(work_ends - 300ms);
+  cr_expect(fixture.status() == 200 && fixture.final.fields.ends_with("Parts-Missing: 1\r\n"));
+}
+
+Test(request, behind_the_end_of_input_no_attempt_begins_later_than_the_bound) {
+  for (const char* route : {single, risky}) {
+    RequestFixture fixture(route);
+    fixture.request->start(start);
+    fixture.request->end_input(start);
+    fixture.request->handle_failure(0, ErrorCode::refused_connection, false, work_ends - 1ms);
+    cr_expect(fixture.attempts.size() == 2 && fixture.responses == 0);
+    fixture.request->handle_failure(0, ErrorCode::refused_connection, false, work_ends);
+    cr_expect(fixture.attempts.size() == 2 && fixture.status() == 503, "nothing ran");
+    cr_expect(fixture.request->stop_reason() == StopReason::input_ended);
+  }
+}
+
+Test(request, behind_the_end_of_input_a_risky_one_at_work_has_its_whole_time) {
+  RequestFixture fixture(risky);
+  fixture.request->start(start);
+  const TimePoint deadline = fixture.request->deadline();
+  fixture.request->end_input(start);
+  for (TimePoint now = start; now < deadline; now += 10ms)
+    fixture.request->on_due(now);
+  cr_expect(fixture.responses == 0 && fixture.request->deadline() == deadline);
+  fixture.deliver_response(0, RequestFixture::success_response("x"), deadline - 1ms);
+  cr_expect(fixture.status() == 200);
+}
+
+Test(request, behind_the_end_of_input_a_risky_one_that_waits_for_a_backend_is_refused_in_time) {
+  RequestFixture fixture(risky);
+  fixture.limit_connections(0);
+  fixture.request->start(start);
+  fixture.request->end_input(start - 380ms);
+  cr_expect(fixture.responses == 0 && fixture.request->next_due() <= work_ends - 380ms);
+  fixture.request->on_due(work_ends - 380ms);
+  cr_expect(fixture.status() == 503 && fixture.attempts.empty());
+}
--- a/tests/coordination/routing/request_fixture.h
+++ b/tests/coordination/routing/request_fixture.h
@@ -60,7 +60,9 @@
   PickResult pick(const std::vector<BackendPointer>& backends,
                   const std::vector<const Backend*>& tried, int, TimePoint now,
                   const PickConstraints& constraints) override {
-    return load_balancer_.pick(backends, tried, 1000, now, constraints);
+    if (max_connections_ == 0)
+      return {nullptr, true};
+    return load_balancer_.pick(backends, tried, max_connections_, now, constraints);
   }
   Delegation delegate(ProxiedRequest&, Duration, TimePoint) override {
     return {delegated_parts, "far"};
@@ -95,6 +97,9 @@
   int status() const {
     return final.kind == ErrorCode::none ? final.status : status_line_of(final.kind).status;
   }
+  void limit_connections(int max_connections) {  // to a backend; 0: all are full
+    max_connections_ = max_connections;
+  }
   void drain_service(std::size_t service) {
     for (const BackendPointer& backend : table_->by_service[service])
       backend->is_draining = true;
@@ -115,6 +120,7 @@
   std::map<std::string, RetryBudget> budgets_;
   LoadBalancer load_balancer_{{"", ""}, 1};
   LatencyEstimate latency_estimate_;
+  int max_connections_ = 1000;
 };
 
 inline const char single[] = R"("sort":"harmless","service":"s0")";
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -2,6 +2,7 @@
 
 #include <Poco/Net/StreamSocket.h>
 
+#include <functional>
 #include <thread>
 
 #include "transport/http_client_connection.h"
@@ -148,3 +149,85 @@
   cr_expect(pair.caller->reader().response().get("Try-Id") == "2");
   cr_expect(pair.caller->state() == HttpClientConnection::State::ended);
 }
+
+namespace {
+
+// A server that answers when the test says so, and a client's socket.
+class LateAnswers : public HttpServer::Handler {
+ public:
+  LateAnswers() : server_(poller, timers, *this, 16, 1 << 20) {
+    Poco::UInt16 port = 20000;
+    while (port < 60000 && server_.open({"127.0.0.1", port}))
+      ++port;
+    client.connect(Poco::Net::SocketAddress("127.0.0.1", port));
+  }
+  void on_request(ServerExchange& exchange, TimePoint) override {
+    waiting.push_back(exchange.id());
+  }
+  void on_gone(ServerExchange&) override {
+    ++gone;
+  }
+  void on_input_end(ServerExchange&, TimePoint) override {
+    ++input_ends;
+  }
+  void send(const std::string& bytes) {
+    client.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+  }
+  void turn_until(const std::function<bool()>& is_reached) {
+    for (int round = 0; round < 2000 && !is_reached(); ++round)
+      poller.poll(Duration(20));
+    cr_assert(is_reached());
+  }
+  ServerExchange* last() {
+    return server_.find(waiting.back());
+  }
+  std::size_t connections() {
+    server_.reap();
+    return server_.count();
+  }
+
+  Poller poller;
+  TimerQueue timers;
+  Poco::Net::StreamSocket client;
+  std::vector<ExchangeId> waiting;
+  int gone = 0, input_ends = 0;
+
+ private:
+  HttpServer server_;
+};
+
+const std::string request = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n";
+
+}  // namespace
+
+// Guards against requests that are served and never answered, since the client ended its sending.
+Test(server, who_ended_its_input_gets_an_answer_to_each_request_that_came_whole) {
+  LateAnswers stage;
+  stage.send(request + request + request.substr(0, 9));
+  stage.client.shutdownSend();
+  stage.turn_until([&] { return stage.input_ends == 1; });
+  stage.last()->answer({200, "OK", "", "one"}, Clock::now());
+  stage.turn_until([&] { return stage.waiting.size() == 2; });
+  cr_expect(stage.last()->has_input_ended());
+  stage.last()->answer({200, "OK", "", "two"}, Clock::now());
+  cr_expect(stage.connections() == 0 && stage.gone == 0);
+  std::string answers;
+  char bytes[4096];
+  for (int got = 0; (got = stage.client.receiveBytes(bytes, sizeof bytes)) > 0;)
+    answers.append(bytes, static_cast<std::size_t>(got));
+  cr_expect(answers.find("one") < answers.find("two") && answers.ends_with("two"));
+}
+
+Test(server, readiness_behind_the_end_of_input_is_no_break_and_a_reset_is_one) {
+  LateAnswers stage;
+  stage.send(request);
+  stage.client.shutdownSend();
+  stage.turn_until([&] { return stage.input_ends == 1; });
+  for (const bool is_writable : {false, true, false, true})
+    stage.last()->on_ready(true, is_writable);
+  cr_assert(stage.gone == 0 && stage.connections() == 1);
+  stage.client.setLinger(true, 0);
+  stage.client.close();
+  stage.turn_until([&] { return stage.gone == 1; });
+  cr_expect(stage.connections() == 0);
+}
