Sessions: statements that wait for a database are answered behind the end of input

Statements pipelined behind the one at work were dropped as well.

Cause: only a statement that was at a database by then counted as owed; whatever else had been read was dropped.

The messages that came whole are delivered in their turn, each is answered, and the connection ends when the session wants more than there is. Nothing is begun later than 400 ms from the end of input, or from the answer before; what would not last is worked on no longer than that, and a WRITE or SAVE that has begun has its whole time. What could not be begun gets BUSY or UNDONE, which promise that nothing is kept. Within the bound a read that lost its answer is asked again, as always. A pooler that leaves waits for what it has not sent.

--- a/src/coordination/databases/database_session.cpp
+++ b/src/coordination/databases/database_session.cpp
@@ -194,6 +194,8 @@
   started_at_ = now;
   deadline_ = now + route_.give_up;
   context_.set_due(*this, deadline_);
+  if (has_input_ended_)
+    limit_work_after_input(now);
   proceed(now);
 }
 
@@ -222,7 +224,7 @@
 void Session::on_no_connection(Backend& backend, StatementError why, TimePoint now) {
   context_.record_refusal(backend, why, now);
   ++tries_;
-  if (may_try_again())
+  if (may_try_again(now))
     return proceed(now);
   // Nothing was sent. Whoever leads next may be told at any moment.
   if (!context_.may_wait(*this))
@@ -264,7 +266,7 @@
   if (has_transaction_ && has_asked_)
     return finish_failed(StatementError::rolled_back, "a name or value could not be set", now);
   ++tries_;
-  if (!may_try_again() && error != StatementError::readonly)
+  if (!may_try_again(now) && (error != StatementError::readonly || !may_begin(now)))
     return finish_failed(is_not_run(error) ? error : StatementError::busy, "not begun", now);
   proceed(now);
 }
@@ -301,7 +303,7 @@
     const bool may_repeat =
         is_not_run(result.error) && (result.error != StatementError::busy || is_read_only_);
     const bool should_repeat =
-        may_try_again() || (result.error == StatementError::readonly && !has_input_ended_);
+        may_try_again(now) || (result.error == StatementError::readonly && may_begin(now));
     if (may_repeat && should_repeat)
       return proceed(now);
     return finish_failed(result.error, result.text, now);
@@ -332,8 +334,8 @@
       return finish_failed(StatementError::rolled_back, "the connection broke", now);
     has_begun_ = false;
     ++tries_;
-    return may_try_again() ? proceed(now)
-                           : finish_failed(StatementError::busy, "the connection broke", now);
+    return may_try_again(now) ? proceed(now)
+                              : finish_failed(StatementError::busy, "the connection broke", now);
   }
   if (before == State::attempting)
     handle_lost_response(now);
--- a/src/coordination/databases/database_session.h
+++ b/src/coordination/databases/database_session.h
@@ -79,9 +79,10 @@
   void proceed(TimePoint now);  // what it waited for may be there
   void on_due(TimePoint now);
   void handle_client_left(TimePoint now);  // the client is gone
-  // The client sends nothing more, and may be gone or wait. True: a statement of its is at a
-  // database; it is answered, and not sent again. False: nothing is owed.
-  bool end_input(TimePoint now);
+  // The client sends nothing more, and may be gone or wait for its answers. From then on
+  // max_work_after_input_end bounds the beginning of each statement, and all work on what would not
+  // last.
+  void end_input(TimePoint now);
 
   const Values& wanted_values() const override {
     return values_;
@@ -101,9 +102,13 @@
              TimePoint now);
   void prepare(TimePoint now);
   void send(TimePoint now);
-  bool may_try_again() const {
-    return tries_ < max_tries_ && !has_input_ended_;
+  bool may_begin(TimePoint now) const {
+    return now < begin_until_;
   }
+  bool may_try_again(TimePoint now) const {
+    return tries_ < max_tries_ && may_begin(now);
+  }
+  void limit_work_after_input(TimePoint now);
   void release_connection(TimePoint now);
   bool has_leadership(TimePoint now) const {
     return !needs_leadership_ || !connection_ ||
@@ -144,6 +149,7 @@
   bool is_write_ = false;  // its effect would last: a WRITE outside a transaction, or SAVE
   const Prepared* prepared_ = nullptr;
   TimePoint started_at_{}, deadline_{};
+  TimePoint begin_until_ = TimePoint::max();  // it is not sent to a database later
   int tries_ = 0, max_tries_ = 2;
 };
 
--- a/src/coordination/databases/database_session_end.cpp
+++ b/src/coordination/databases/database_session_end.cpp
@@ -3,22 +3,16 @@
 #include <utility>
 
 #include "coordination/databases/database_session.h"
+#include "coordination/routing/ended_input.h"
 #include "state/metrics.h"
 
 namespace saddlewing {
-namespace {
-
-// A client that sends nothing more may be gone: what would not last is at work for it no longer
-// than that. The rules give half a second.
-constexpr Duration max_work_after_input{400};
-
-}  // namespace
 
 // The statement may have run and its outcome is not known.
 void Session::handle_lost_response(TimePoint now) {
   if (is_write_)
     return finish_failed(StatementError::unknown, "the outcome was lost", now);
-  if (!has_transaction_ && may_try_again() && now < deadline_)
+  if (!has_transaction_ && may_try_again(now) && now < deadline_)
     return proceed(now);
   finish_failed(StatementError::rolled_back, "the outcome was lost",
                 now);  // reads keep nothing, and what was not saved is rolled back
@@ -65,6 +59,8 @@
   }
   if (!is_busy())
     return;
+  if (state_ == State::attempting && is_write_ && now < deadline_)
+    return context_.set_due(*this, deadline_);  // it was begun in time
   if (state_ == State::attempting) {
     // Given up early, it says nothing about the database.
     const StatementError why = now < deadline_ ? StatementError::none : StatementError::timeout;
@@ -82,13 +78,15 @@
                 "not begun in time", now);
 }
 
-bool Session::end_input(TimePoint now) {
-  if (state_ != State::attempting)
-    return false;
+void Session::end_input(TimePoint now) {
   has_input_ended_ = true;
-  if (!is_write_)
-    context_.set_due(*this, std::min(deadline_, now + max_work_after_input));
-  return true;
+  if (is_busy())
+    limit_work_after_input(now);
+}
+
+void Session::limit_work_after_input(TimePoint now) {
+  begin_until_ = std::min(deadline_, now + max_work_after_input_end);
+  context_.set_due(*this, begin_until_);
 }
 
 void Session::handle_client_left(TimePoint now) {
--- a/src/pooler/pooler_loop.cpp
+++ b/src/pooler/pooler_loop.cpp
@@ -36,11 +36,14 @@
                 return session.refuse_unreadable(result == DatabaseReadResult::too_long
                                                      ? StatementError::too_long
                                                      : StatementError::malformed);
+              if (session.is_busy())
+                metrics().add(Metric::client_breaks);
               session.handle_client_left(Clock::now());
               this->loop.defer_delete(*this);
             },
             [this] {
-              return session.end_input(Clock::now());
+              metrics().add(Metric::client_input_ends);
+              session.end_input(Clock::now());
             }}),
       session(loop) {
   link.accept(std::move(channel));
@@ -204,12 +207,8 @@
     session.handle_client_left(Clock::now());
     return defer_delete(client);
   }
-  if (session.is_busy())
-    return;
-  if (!client.link.is_peer_done())
-    return client.link.resume();
-  session.handle_client_left(Clock::now());
-  client.link.finish();
+  if (!session.is_busy())
+    client.link.resume();
 }
 
 void PoolerLoop::close(Session& session) {
@@ -248,7 +247,7 @@
   const bool may_go_on = now - leaving_since_ < settings_.grace / 2;
   std::vector<Client*> ending;
   for (const auto& [client, kept] : clients_) {
-    if (client->session.is_busy())
+    if (client->session.is_busy() || client->link.has_unsent())
       continue;
     if (!client->session.is_in_transaction() || !may_go_on)
       ending.push_back(client);
--- a/src/transport/database_transport.cpp
+++ b/src/transport/database_transport.cpp
@@ -85,15 +85,16 @@
   poller_.change(tcp_.socket(), input_.poller_mode(!is_full_, !out_.empty()));
 }
 
-// What came before the end is delivered first: its answer may be what the peer waits for.
+// What came before the end is delivered first.
 void DatabaseTransport::handle_input_end() {
   deliver_messages();
   if (state_ != State::open)
     return;
-  if (!owner_.on_peer_done || !owner_.on_peer_done())
+  if (!owner_.on_input_end)
     return end(DatabaseReadResult::incomplete);
-  in_.clear();
   update_poller();
+  if (is_paused_)
+    owner_.on_input_end();
 }
 
 void DatabaseTransport::read() {
@@ -119,7 +120,7 @@
 
 void DatabaseTransport::resume() {
   is_paused_ = false;
-  if (state_ == State::open && !in_.empty())
+  if (state_ == State::open)
     deliver_messages();
 }
 
@@ -141,6 +142,8 @@
   is_delivering_ = false;
   if (state_ != State::open)
     return;
+  if (input_.has_ended() && owner_.on_input_end && !is_paused_)
+    return finish();  // no further message came whole
   const bool is_full = in_.size() > max_ahead;
   if (is_full != is_full_) {
     is_full_ = is_full;
--- a/src/transport/database_transport.h
+++ b/src/transport/database_transport.h
@@ -9,17 +9,19 @@
 
 namespace saddlewing {
 
-// Its way: Connecting -> Open -> Ended. Invariant: after Ended nothing is delivered any more. A
-// peer that ends its sending side may still wait for an answer: the owner decides whether the
-// connection stays open for that, and then ends it with `finish`. What it sent and was not
-// delivered by then is dropped.
+// Its way: Connecting -> Open -> Ended. Invariant: after Ended nothing is delivered any more.
+// Behind the end of a client's input the messages that came whole are delivered in their turn, and
+// the connection ends once the owner wants more than there is and what was sent has left. A
+// connection to a server ends with its input, as then no answer can come.
 class DatabaseTransport final : public Watcher {
  public:
   struct Owner {
     std::function<bool(DatabaseMessage&&)> on_message;  // false: no more for now; `resume` goes on
     std::function<void(DatabaseReadResult)>
         on_end;  // more: the peer ended it; else what could not be read
-    std::function<bool()> on_peer_done = {};  // true: it is still to be answered; unset: never
+    // The client sends nothing more, while a message of its is at work. Unset: the peer is a
+    // server.
+    std::function<void()> on_input_end = {};
   };
   DatabaseTransport(Poller& poller, Owner owner) : poller_(poller), owner_(std::move(owner)) {
   }
@@ -36,9 +38,12 @@
   bool is_ended() const {
     return state_ == State::ended;
   }
-  bool is_peer_done() const {  // it sends no more, and is still to be answered
+  bool has_input_ended() const {
     return input_.has_ended();
   }
+  bool has_unsent() const {
+    return sent_ < out_.size();
+  }
   bool has_room() const {
     return out_.size() - sent_ < max_unsent;
   }
