Soak: clients, sessions and operators end their sending behind a share of all they ask

One check for all: a node without trouble that goes on running answers each, whether it was passed on or not. The stand-in databases know transactions. The check of writes alone, which judged only what a database kept and only while no node at all was in trouble, is replaced by this stricter one; planted histories show both sides of it.

--- a/tests/soak/checker_test.py
+++ b/tests/soak/checker_test.py
@@ -5,7 +5,8 @@
 from mixed_versions.requests import Request, RouteKind
 from soak import checker
 from soak.configurations import make_soak_configuration, moving_service
-from soak.history import Attempt, Drain, History, Life, Observation, Put, Read, Run, Span
+from soak.history import (Attempt, Call, Drain, History, Life, Observation, Put, Read, Run,
+                          Span)
 
 START = 1000.0
 
@@ -54,6 +55,27 @@
         return {violation.rule
                 for violation in checker.check_all(self.history, self.ledger, {"try-1"})}
 
+    def test_requests_without_an_answer_after_the_end_of_sending(self):
+        """LOST, passed on or not, unless the broker was in trouble or is leaving."""
+        lost = [make_attempt(number, status=0, has_ended_sending=True) for number in range(10, 14)]
+        self.history.explanations = {f"try-{number}": " status=0 " for number in range(10, 14)}
+        self.history.attempts += lost[:3]
+        self.assertEqual(self.rules(), set())
+        self.history.attempts.append(lost[3])
+        self.assertEqual(self.rules(), {"LOST"})
+        self.history.lives[0].ended_at = START + 3
+        self.assertEqual(self.rules(), {"Fault"})
+        self.history.lives[0].is_end_wanted = True
+        self.assertEqual(self.rules(), set())
+
+    def test_calls_without_an_answer_after_the_end_of_sending(self):
+        """LOST, unless the registry was in trouble."""
+        self.history.lives.append(Life("registry-1", START - 100))
+        self.history.calls = [Call("registry-1", START, START + 0.1, 0, True) for _ in range(4)]
+        self.assertEqual(self.rules(), {"LOST"})
+        self.history.spans.append(Span("pause", ("registry-1",), START - 1, START))
+        self.assertEqual(self.rules(), set())
+
     def test_a_right_history(self):
         """Nothing is found."""
         self.assertEqual(self.rules(), set())
--- a/tests/soak/database_checker_test.py
+++ b/tests/soak/database_checker_test.py
@@ -3,7 +3,7 @@
 
 from soak import database_checker as checker
 from soak.database_history import DatabaseHistory, Promotion, Statement
-from soak.history import Span
+from soak.history import Life, Span
 
 START = 1000.0
 
@@ -55,19 +55,18 @@
         self.history.spans.append(Span("pause", ("pooler-1",), START + 5.5, START + 5.9))
         self.assertEqual(self.rules(), set())
 
-    def test_writes_without_an_answer_after_the_end_of_sending(self):
-        """LOST, unless something was in trouble, or they may not have been passed on."""
+    def test_statements_without_an_answer_after_the_end_of_sending(self):
+        """LOST, passed on or not, unless the pooler was in trouble."""
+        self.history.lives.append(Life("pooler-1", START))
         numbers = range(10, 14)
         unanswered = [make_write(number, START + 20, "", code="no answer", ended_at=0.0,
                                  has_ended_sending=True) for number in numbers]
-        kept = frozenset({"t1", "t2"} | {f"t{number}" for number in numbers})
         self.history.statements += unanswered[:3]
-        self.assertEqual(self.rules(kept), set())
+        self.assertEqual(self.rules(), set())
         self.history.statements.append(unanswered[3])
-        self.assertEqual(self.rules(kept), {"LOST"})
-        self.assertEqual(self.rules(kept - {"t13"}), set())
-        self.history.spans.append(Span("pause", ("registry-1",), START + 16, START + 17))
-        self.assertEqual(self.rules(kept), set())
+        self.assertEqual(self.rules(), {"LOST"})
+        self.history.spans.append(Span("pause", ("pooler-1",), START + 16, START + 17))
+        self.assertEqual(self.rules(), set())
 
     def test_a_read_lacks_what_was_acknowledged(self):
         """STALE, unless a promotion cut it back."""
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from mixed_versions.ledger import Ledger
+from soak import answered_checker
 from soak.backends import EMPTY_OUT_S
 from soak.configurations import (GIVE_UP_MS, MOVING_PREFIX, MOVING_SERVICES, SHARED_PREFIX, TRIES,
                                  moving_service)
@@ -142,6 +143,14 @@
                                     f"was at a backend, such as {ids[0]}")
 
 
+def check_answered(history: History) -> Iterator[Violation]:
+    """LOST: who ends its sending side behind requests or an operator's call gets its answers."""
+    for candidates in (answered_checker.unanswered_requests(history, GIVE_UP_MS / 1000),
+                       answered_checker.unanswered_calls(history)):
+        for text in answered_checker.find_unanswered(history, candidates):
+            yield Violation("LOST", text)
+
+
 def check_planned_work(history: History, planned_from: float, planned_until: float,
                        leaving: str, grace_s: float) -> Iterator[Violation]:
     """LOST: beside planned work in a calm time no request that was read loses its answer."""
@@ -355,8 +364,8 @@
     """All checks that need nothing but the history."""
     found = list(check_ledger(ledger, once_ids))
     for check in (check_answers, check_route, check_drain, check_gone, check_kept_connections,
-                  check_configuration_register, check_operator_calls, check_in_force,
-                  check_held_in_time, check_never_back, check_tries, check_own_ends,
+                  check_answered, check_configuration_register, check_operator_calls,
+                  check_in_force, check_held_in_time, check_never_back, check_tries, check_own_ends,
                   check_invariants, check_explained, check_problems):
         found += check(history)
     return found
--- a/tools/soak/clients.py
+++ b/tools/soak/clients.py
@@ -10,13 +10,15 @@
 from mixed_versions.requests import HOST, Request, RouteKind, make_request
 from soak.configurations import MOVING_PREFIX, MOVING_SERVICES, SHARED_PREFIX
 from soak.history import Attempt, History, now
-from soak.http_streams import call, make_request_bytes, read_message, reset
+from soak.http_streams import Message, call, make_request_bytes, read_message, reset
 
 _CONNECT_WAIT_S = 1.0
 _ANSWER_SLACK_S = 1.5
 _READY_EVERY_S = 0.25
 _MISSES_UNTIL_OUT = 2
 _LONG_WORK_MS = 1500
+_END_SENDING_SHARE = 0.08  # of requests: behind them the client ends its sending side, and waits
+_PIPELINED = (2, 3, 4)
 _PREFIXES = (None, None, None, MOVING_PREFIX, SHARED_PREFIX)
 
 
@@ -27,6 +29,7 @@
         self._history = history
         self._ledger = ledger
         self._random = random.Random(seed ^ 0xC11E)
+        self._ending_random = random.Random(seed ^ 0xE4D5)
         self._broker_hosts = broker_hosts  # by name
         self._misses = {name: _MISSES_UNTIL_OUT for name in broker_hosts}
         self._is_ending = False
@@ -38,7 +41,7 @@
         for name in self._broker_hosts:
             self._tasks.append(asyncio.create_task(self._watch(name)))
             workers = [self._keep_connection] * 4 + [self._single_calls] * 2
-            workers += [self._leave_early, self._send_slowly]
+            workers += [self._leave_early, self._send_slowly, self._pipeline]
             self._tasks += [asyncio.create_task(worker(name)) for worker in workers]
 
     async def stop(self) -> None:
@@ -95,6 +98,9 @@
                 writer.write(data)
                 await writer.drain()
                 attempt.is_read_whole = True
+                if self._ending_random.random() < _END_SENDING_SHARE:
+                    writer.write_eof()
+                    attempt.has_ended_sending = True
                 message = await read_message(reader)
         except (OSError, TimeoutError, asyncio.IncompleteReadError):
             message = None
@@ -104,9 +110,14 @@
         attempt.ended_at = now()
         if message is None:
             return False
+        self._take_answer(attempt, message)
+        is_over = message.headers.get("Connection", "").lower() == "close"
+        return not is_over and not attempt.has_ended_sending
+
+    def _take_answer(self, attempt: Attempt, message: Message) -> None:
+        attempt.ended_at = now()
         attempt.status = message.status
         self._judge(attempt, Answer(message.status, message.headers, message.body))
-        return message.headers.get("Connection", "").lower() != "close"
 
     def _judge(self, attempt: Attempt, answer: Answer) -> None:
         if answer.status in (502, 504):
@@ -173,6 +184,45 @@
             if await self._pause(name):
                 await self._single(name, pause_s=self._random.uniform(0.05, 0.5))
 
+    async def _pipeline(self, name: str) -> None:
+        """Some requests at once, then the end of sending; waits for an answer to each."""
+        while not self._is_ending:
+            if not await self._pause(name):
+                continue
+            writer = None
+            attempts: list[Attempt] = []
+            try:
+                reader, writer = await self._connect(name)
+                attempts = [self._begin(self._make_request(), name, False)
+                            for _ in range(self._ending_random.choice(_PIPELINED))]
+                await self._exchange_all(reader, writer, attempts)
+            except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
+                pass
+            finally:
+                for attempt in attempts:
+                    attempt.ended_at = attempt.ended_at or now()
+                if writer is not None:
+                    writer.close()
+            await asyncio.sleep(0.1)
+
+    async def _exchange_all(self, reader, writer, attempts: list[Attempt]) -> None:
+        async with asyncio.timeout(len(attempts) * TIME_LEFT_MS / 1000 + _ANSWER_SLACK_S):
+            writer.write(b"".join(self._bytes_of(attempt.request) for attempt in attempts))
+            writer.write_eof()
+            for attempt in attempts:
+                attempt.is_read_whole = attempt.has_ended_sending = True
+            for attempt in attempts:
+                attempt.sent_at = now()  # its turn has come
+                message = await read_message(reader)
+                if message is None:
+                    return
+                self._take_answer(attempt, message)
+                if message.headers.get("Connection", "").lower() == "close":
+                    break
+        for attempt in attempts:
+            if not attempt.status:
+                attempt.is_read_whole = False  # it crossed the close
+
     async def _leave_early(self, name: str) -> None:
         """Asks for long work and closes its connection before the answer."""
         while not self._is_ending:
--- a/tools/soak/cluster.py
+++ b/tools/soak/cluster.py
@@ -18,6 +18,9 @@
 REGIONS = {"zone-east": "region-east", "zone-west": "region-west"}
 CATCH_UP_S = 4
 
+# By seed, how a node's kernel tells of a peer's end once more: not at all, as readable, as an
+# error, or as both with a hang-up.
+_ENDED_FLAGS = (0, 1, 0, 8, 0, 25)
 _HOLE_PORT = 29999
 _HOLE_BACKLOG = 4
 _WATCH_EVERY_S = 0.05
@@ -35,6 +38,7 @@
     does_sync_fail: bool = False
     is_disk_full: bool = False
     serial: int = 0
+    ended_flags: int = 0  # told once more behind a peer's end; 0: nothing is told
 
     def text(self, hole: str, synced: Path) -> str:
         """The file's text."""
@@ -42,6 +46,8 @@
         lines += [f"unreachable {host}" for host in self.unreachable]
         lines += [f"reset {host}" for host in self.reset]
         lines += [f"serial {self.serial}", f"hole {hole}", f"synced {synced}"]
+        if self.ended_flags:
+            lines.append(f"ended_flags {self.ended_flags}")
         if self.sync_ms:
             lines.append(f"sync_ms {self.sync_ms}")
         if self.does_sync_fail:
@@ -175,6 +181,8 @@
                               network.host(11 + at), ZONES[at % 2]),
                      settings, folder / f"{traffic_kind.value}-{at + 1}", faults, overrides)
             for at in range(schedule.brokers)]
+        for node in self.nodes:
+            node.rules.ended_flags = _ENDED_FLAGS[schedule.seed % len(_ENDED_FLAGS)]
         self._hole = Hole(network.host(30))
         self._lives: dict[str, Life] = {}
         self._watcher: asyncio.Task | None = None
@@ -269,7 +277,7 @@
         """No rule is in force any more, nobody is frozen, everybody runs."""
         for node in self.nodes:
             serial = node.rules.serial
-            node.rules = NodeRules(serial=serial)
+            node.rules = NodeRules(serial=serial, ended_flags=node.rules.ended_flags)
             self.apply(node)
             node.send_signal(signal.SIGCONT)
             self.start(node)
--- a/tools/soak/database_checker.py
+++ b/tools/soak/database_checker.py
@@ -1,8 +1,9 @@
 """Judges the history of a run of databases; knows nothing of how it came about."""
 from collections.abc import Iterator
 
-from soak.checker import (IN_TOUCH_S, MAX_CUT_KEPT, MIN_CALM_SERVED_SHARE, Violation,
-                          check_invariants, check_own_ends, check_problems)
+from soak.answered_checker import Unanswered, find_unanswered
+from soak.checker import (MIN_CALM_SERVED_SHARE, Violation, check_invariants, check_own_ends,
+                          check_problems)
 from soak.database_history import DatabaseHistory, Statement
 
 GIVE_UP_MS = 3000  # of all routes
@@ -66,23 +67,14 @@
             yield Violation("REFUSED", f"{statement.thing} got {statement.code} and is kept")
 
 
-def check_answered(history: DatabaseHistory,
-                   kept: dict[str, frozenset[str]]) -> Iterator[Violation]:
-    """LOST: who ends its sending side behind a write gets its answer.
-
-    `kept`: as above. Judged are writes in calm times that are kept, so that they were passed on.
-    """
-    unanswered: dict[str, list[str]] = {}
-    for statement in history.statements:
-        if (statement.has_ended_sending and statement.code == "no answer"
-                and statement.thing in kept[history.services[statement.database]]
-                and history.is_calm(statement.sent_at - IN_TOUCH_S,
-                                    statement.sent_at + GIVE_UP_MS / 1000)):
-            unanswered.setdefault(statement.pooler, []).append(statement.thing)
-    for pooler, things in unanswered.items():
-        if len(things) > MAX_CUT_KEPT:
-            yield Violation("LOST", f"{pooler} passed {len(things)} writes on and closed without "
-                                    f"an answer: {things[:5]}")
+def check_answered(history: DatabaseHistory) -> Iterator[Violation]:
+    """LOST: who ends its sending side behind statements gets an answer to each."""
+    unanswered = (Unanswered(statement.pooler, statement.thing, statement.sent_at,
+                             statement.sent_at + GIVE_UP_MS / 1000)
+                  for statement in history.statements
+                  if statement.has_ended_sending and statement.code == "no answer")
+    for text in find_unanswered(history, unanswered):
+        yield Violation("LOST", text)
 
 
 def check_served(history: DatabaseHistory, database: str, since: float,
@@ -98,9 +90,9 @@
 
 def check_all(history: DatabaseHistory, kept: dict[str, frozenset[str]]) -> list[Violation]:
     """All checks that need nothing but the history and what is left at the end."""
-    found = [*check_refused(history, kept), *check_answered(history, kept)]
-    for check in (check_one, check_stale, check_lost, check_own_ends, check_invariants,
-                  check_problems):
+    found = list(check_refused(history, kept))
+    for check in (check_answered, check_one, check_stale, check_lost, check_own_ends,
+                  check_invariants, check_problems):
         found += check(history)
     return found
 
--- a/tools/soak/databases.py
+++ b/tools/soak/databases.py
@@ -7,6 +7,7 @@
 
 from mixed_versions.addresses import BACKEND_PORT, CONTROL_PORT
 from soak.database_history import DatabaseHistory, Promotion
+from soak.database_transaction import Transaction
 from soak.database_wire import WireMessage, encode, read_wire_message
 from soak.history import now
 from soak.http_streams import call, make_request_bytes
@@ -162,14 +163,15 @@
                 writer.write(encode("E", "WRONGHOST", self.id))
                 return
             writer.write(encode("Z", "I", self.position()))
+            transaction = Transaction()
             while True:
                 message = await read_wire_message(reader)
                 if message.kind != "Q":
                     return
-                answer = await self._answer(message)
+                answer = await self._answer(message, transaction)
                 if await self._is_dropped():
                     return
-                writer.write(answer + encode("Z", "I", self.position()))
+                writer.write(answer + encode("Z", transaction.state(), self.position()))
         except (OSError, asyncio.IncompleteReadError, ValueError, IndexError):
             pass
         finally:
@@ -188,7 +190,7 @@
         at = int(number) - 1
         return at < len(self.log) and self.log[at].term == int(term)
 
-    async def _answer(self, message: WireMessage) -> bytes:
+    async def _answer(self, message: WireMessage, transaction: Transaction) -> bytes:
         text = message.fields[1]
         word, _, rest = text.partition(" ")
         if word == "AFTER":
@@ -208,9 +210,29 @@
             if not self.is_leader:
                 return encode("E", "READONLY", self.id)
             thing, _, data = rest.partition(" ")
+            if transaction.is_open:
+                transaction.writes.append((thing, data))
+                return encode("C", self._stamp())
             return await self._commit(thing, data)
+        if word == "BEGIN":
+            if rest != "READ" and not self.is_leader:
+                return encode("E", "READONLY", self.id)
+            transaction.is_open = True
+        if word == "SAVE":
+            return await self._save(transaction)
+        if word == "UNDO":
+            transaction.end()
         return encode("C", "-")
 
+    async def _save(self, transaction: Transaction) -> bytes:
+        writes = transaction.end()
+        if writes and not self.is_leader:
+            return encode("E", "READONLY", self.id)
+        answer = encode("C", self._stamp())
+        for thing, data in writes:
+            answer = await self._commit(thing, data)
+        return answer
+
     def _stamp(self) -> str:
         return self.group.new_stamp(self.term)
 
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -25,6 +25,7 @@
     status: int = 0  # 0: no whole answer came
     left_at: float = 0.0  # when the client closed its connection without an answer; 0: it did not
     is_read_whole: bool = False  # the broker may be taken to have read it: all bytes left
+    has_ended_sending: bool = False  # the client sent nothing more behind it
     wrong: str = ""  # why the answer is not a proper one; empty: it is
 
 
@@ -66,6 +67,17 @@
     body: bytes
 
 
+@dataclass
+class Call:
+    """One call of an operator at one registry."""
+
+    registry: str
+    sent_at: float
+    ended_at: float
+    status: int  # 0: no whole answer came
+    has_ended_sending: bool
+
+
 @dataclass
 class Life:
     """One process of a node."""
@@ -117,6 +129,7 @@
     runs: list[Run] = field(default_factory=list)
     puts: list[Put] = field(default_factory=list)
     reads: list[Read] = field(default_factory=list)
+    calls: list[Call] = field(default_factory=list)
     lives: list[Life] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
     drains: list[Drain] = field(default_factory=list)
--- a/tools/soak/http_streams.py
+++ b/tools/soak/http_streams.py
@@ -79,13 +79,19 @@
     writer.transport.abort()
 
 
-async def call(host: str, port: int, request: bytes, wait_s: float) -> Message | None:
-    """One call on a connection of its own; None if no whole answer came in time."""
+async def call(host: str, port: int, request: bytes, wait_s: float,
+               ends_sending: bool = False) -> Message | None:
+    """One call on a connection of its own; None if no whole answer came in time.
+
+    `ends_sending`: behind the request the caller ends its sending side.
+    """
     writer = None
     try:
         async with asyncio.timeout(wait_s):
             reader, writer = await asyncio.open_connection(host, port)
             writer.write(request)
+            if ends_sending:
+                writer.write_eof()
             return await read_message(reader)
     except (OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
         return None
--- a/tools/soak/operators.py
+++ b/tools/soak/operators.py
@@ -5,10 +5,11 @@
 from mixed_versions.addresses import CONTROL_PORT
 from soak.configurations import (make_invalid_configuration, make_other_content,
                                  make_soak_configuration)
-from soak.history import History, Put, Read, now
-from soak.http_streams import call, make_request_bytes
+from soak.history import Call, History, Put, Read, now
+from soak.http_streams import Message, call, make_request_bytes
 
 _CALL_WAIT_S = 1.5
+_END_SENDING_SHARE = 0.3  # of calls: behind them the operator ends its sending side, and waits
 _FIELDS = {"Host": "control", "Content-Type": "application/json"}
 
 
@@ -18,6 +19,7 @@
     def __init__(self, history: History, seed: int, registry_hosts: dict[str, str]):
         self._history = history
         self._random = random.Random(seed ^ 0x0FE8)
+        self._ending_random = random.Random(seed ^ 0xE4D5)
         self.registry_hosts = registry_hosts  # by name
         self._is_ending = False
         self._tasks: list[asyncio.Task] = []
@@ -54,8 +56,8 @@
         until = now() + limit_s
         pause = 0.05
         while now() < until and not put.acknowledged_at and not put.refused:
-            host = self._random.choice(list(self.registry_hosts.values()))
-            answer = await call(host, CONTROL_PORT, request, _CALL_WAIT_S)
+            name = self._random.choice(list(self.registry_hosts))
+            answer = await self._call(name, request, _CALL_WAIT_S)
             if answer is not None and answer.status == 200:
                 put.acknowledged_at = now()
                 self._history.add_time("order acknowledged", put.acknowledged_at - put.sent_at)
@@ -67,6 +69,14 @@
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, 0.5)
 
+    async def _call(self, name: str, request: bytes, wait_s: float) -> Message | None:
+        ends_sending = self._ending_random.random() < _END_SENDING_SHARE
+        sent_at = now()
+        answer = await call(self.registry_hosts[name], CONTROL_PORT, request, wait_s, ends_sending)
+        status = answer.status if answer is not None else 0
+        self._history.calls.append(Call(name, sent_at, now(), status, ends_sending))
+        return answer
+
     async def _order(self) -> None:
         while not self._is_ending:
             await self.put_next()
@@ -95,7 +105,7 @@
         """One read at this registry; None if it gave none."""
         sent_at = now()
         request = make_request_bytes("GET", "/settings", _FIELDS, b"")
-        answer = await call(self.registry_hosts[name], CONTROL_PORT, request, wait_s)
+        answer = await self._call(name, request, wait_s)
         if answer is None or answer.status != 200:
             return None
         read = Read(name, sent_at, now(), answer.body)
