Registries count the bytes they send, by kind and receiver

Each registry now counts frames by kind, to other registries and to subscribers; the tables of leaderships and the samples of log positions are told apart from the heartbeats that carry them. /metrics has the counters, the log a line every 30 s.

Nothing is changed by it yet; 300 machines are not measured by kind.

--- a/src/registry/control_brokers.cpp
+++ b/src/registry/control_brokers.cpp
@@ -6,6 +6,7 @@
 #include "protocol/discovery_messages.h"
 #include "protocol/frame.h"
 #include "registry/control_loop.h"
+#include "registry/sent_bytes.h"
 
 namespace saddlewing {
 namespace {
@@ -33,7 +34,7 @@
   send_heartbeat(broker, now, std::move(heartbeat));
   if (request.wants_configuration)
     if (const auto payload = configuration_service_.payload_after(request.version))
-      frame_server_.send(routing_id, encode(head(), *payload));
+      reply_sender_.send(routing_id, encode(head(), *payload));
   endpoint_publisher_.send_empty_list(broker, now);
 }
 
@@ -57,7 +58,15 @@
     add_pooler_state(to, heartbeat, now);
   else
     add_broker_state(to, heartbeat);
-  frame_server_.send(to.routing_id, encode(head(), heartbeat));
+  const std::string frame = encode(head(), heartbeat);
+  if (!frame_server_.send(to.routing_id, frame))
+    return;
+  const std::size_t leaderships = heartbeat.leaderships.size();
+  const std::size_t samples = heartbeat.samples.size();
+  sent_bytes().record(SentKind::leaderships, Receiver::subscriber, leaderships);
+  sent_bytes().record(SentKind::samples, Receiver::subscriber, samples);
+  sent_bytes().record(SentKind::heartbeat, Receiver::subscriber,
+                      frame.size() - leaderships - samples);
 }
 
 void ControlLoop::add_own_state(ControlHeartbeat& heartbeat, TimePoint now) const {
--- a/src/registry/control_loop.cpp
+++ b/src/registry/control_loop.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "registry/sent_bytes.h"
 #include "state/metrics.h"
 
 namespace saddlewing {
@@ -22,6 +23,7 @@
 constexpr Duration max_wait{100};        // for input, in one round
 constexpr Duration min_leave_wait{200};  // between having left and the end, without waiting calls
 constexpr Duration foreign_log_interval{1000};
+constexpr Duration sent_log_interval{30000};
 constexpr std::size_t max_frames_per_round = 512;
 constexpr std::size_t max_events = 4096;  // that wait
 constexpr std::size_t max_contact_lists = 4;
@@ -160,6 +162,7 @@
   dispatcher_->set_lease(raft_.term(), raft_.lease_until());
   maintain_brokers(now);
   endpoint_publisher_.tick(now);
+  log_sent_bytes(now);
   configuration_service_.advance_rollout(now);
   handle_output(now);
 }
@@ -314,6 +317,14 @@
   backend_monitor_->set_targets(std::move(targets));
 }
 
+void ControlLoop::log_sent_bytes(TimePoint now) {
+  if (now - sent_logged_ < sent_log_interval)
+    return;
+  if (sent_logged_ != TimePoint{})
+    LOG(INFO) << "agree: bytes sent so far:" << sent_bytes().text();
+  sent_logged_ = now;
+}
+
 void ControlLoop::log_raft_changes() {
   if (raft_.is_leader() != was_leader_) {
     was_leader_ = raft_.is_leader();
--- a/src/registry/control_loop.h
+++ b/src/registry/control_loop.h
@@ -91,6 +91,7 @@
                            TimePoint now);
   void handle_output(TimePoint now);
   void log_raft_changes();
+  void log_sent_bytes(TimePoint now);
   void update_metrics() const;
   FrameHead head() const {
     return raft_context_.frame_head();
@@ -183,6 +184,7 @@
   EntrySnapshot logged_entry_;  // the committed entry whose members were logged last
   bool was_leader_ = false;     // at the last round
   TimePoint foreign_logged_{};
+  TimePoint sent_logged_{};
   std::uint64_t foreign_frames_ = 0;  // dropped, foreign or damaged
   std::thread thread_;
 };
--- a/src/registry/operator_api.cpp
+++ b/src/registry/operator_api.cpp
@@ -7,6 +7,7 @@
 
 #include "coordination/discovery/backend_heartbeat.h"
 #include "protocol/http_calls.h"
+#include "registry/sent_bytes.h"
 #include "state/configuration.h"
 #include "state/invariants.h"
 #include "state/metrics.h"
@@ -97,7 +98,7 @@
   const std::string& target = request.getURI();
   if (target == row_of(HttpCall::metrics).path)
     return exchange.answer({200, "OK", "Content-Type: text/plain; version=0.0.4\r\n",
-                            metrics().page() + violations_page()},
+                            metrics().page() + violations_page() + sent_bytes().page()},
                            now);
   if (target.starts_with(row_of(HttpCall::heartbeat).path))
     return handle_backend_call(exchange, now);
--- a/src/registry/peer_links.cpp
+++ b/src/registry/peer_links.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "registry/sent_bytes.h"
+
 namespace saddlewing {
 
 PeerLinks::PeerLinks(LinkContext& context, std::string own_address)
@@ -33,8 +35,9 @@
 
 void PeerLinks::send_to(const std::string& address, const std::string& bytes) {
   connect(address);
-  if (const auto found = clients_.find(address); found != clients_.end())
-    found->second->send(bytes);
+  const auto found = clients_.find(address);
+  if (found != clients_.end() && found->second->send(bytes))
+    sent_bytes().record(sent_kind_of(bytes), Receiver::registry, bytes.size());
 }
 
 }  // namespace saddlewing
--- a/src/registry/reply_sender.h
+++ b/src/registry/reply_sender.h
@@ -2,6 +2,7 @@
 // Sends frames back over connections that others opened to this registry.
 #include <string>
 
+#include "registry/sent_bytes.h"
 #include "transport/frame_link.h"
 
 namespace saddlewing {
@@ -20,7 +21,10 @@
   explicit FrameServerReplySender(FrameServer& server) : server_(server) {
   }
   bool send(const std::string& routing_id, const std::string& bytes) override {
-    return server_.send(routing_id, bytes);
+    if (!server_.send(routing_id, bytes))
+      return false;
+    sent_bytes().record(sent_kind_of(bytes), Receiver::subscriber, bytes.size());
+    return true;
   }
 
  private:
