--- a/src/coordination/routing/proxied_request.h
+++ b/src/coordination/routing/proxied_request.h
@@ -241,6 +241,8 @@
   void schedule(TimePoint now);
   void finish_gathered(TimePoint now);
   void finish(FinalResponse response, TimePoint now);
+  // With the response as the backend gave it.
+  void finish_with(BackendResponse response, TimePoint now);
   // Whether the invariants allow one more attempt for the part.
   bool may_send(const Part& part) const;
   bool is_at_work() const;
--- a/src/coordination/routing/requester.h
+++ b/src/coordination/routing/requester.h
@@ -24,6 +24,11 @@
   std::string body;
 };
 
+// Whether a response with this HTTP status tells the client that the request has not run.
+constexpr bool promises_not_run(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 // Moving averages of how long the attempts of a route take, for the moment to send a hedge.
 struct LatencyEstimate {
   double mean_ms = 0;       // 0: no response yet
