--- a/tests/registry/operator_api_test.cpp
+++ b/tests/registry/operator_api_test.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-class Stage {
+class OperatorApiFixture {
  public:
-  Stage() : events(16, {}) {
+  OperatorApiFixture() : events(16, {}) {
     NodeSettings settings;
     settings.memory_bytes = 256u << 20;
     for (int port = 20000 + ::getpid() % 9000; !api && port < 60000; ++port) {
@@ -28,7 +28,7 @@
     client.connect(
         Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(settings.control.port)));
   }
-  ~Stage() {
+  ~OperatorApiFixture() {
     api->stop();
   }
   // What a caller gets that ends its input behind its request, if the call is done that much later.
@@ -62,16 +62,16 @@
 // Guards against an order that comes into force and is never acknowledged, since the operator ended
 // its sending.
 Test(operator_api, an_order_is_acknowledged_to_who_ended_its_input) {
-  Stage stage;
+  OperatorApiFixture fixture;
   const std::string body = R"({"version":1,"services":[],"routes":[]})";
   const std::string order =
       "PUT /settings HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) +
       "\r\n\r\n" + body;
-  cr_expect(stage.ask_and_end_input(order, long_after).starts_with("HTTP/1.1 200 "));
+  cr_expect(fixture.ask_and_end_input(order, long_after).starts_with("HTTP/1.1 200 "));
 }
 
 Test(operator_api, a_read_is_answered_to_who_ended_its_input) {
-  Stage stage;
+  OperatorApiFixture fixture;
   const std::string read = "GET /settings HTTP/1.1\r\nHost: a\r\n\r\n";
-  cr_expect(stage.ask_and_end_input(read, long_after).ends_with("\r\n\r\n{}\n"));
+  cr_expect(fixture.ask_and_end_input(read, long_after).ends_with("\r\n\r\n{}\n"));
 }
