--- a/tests/coordination/databases/database_session_test.cpp
+++ b/tests/coordination/databases/database_session_test.cpp
@@ -145,43 +145,52 @@
     }
 }
 
+namespace {
+
+// A client whose write waits, since nobody leads, and that ends its input then.
+struct WaitingWrite {
+  explicit WaitingWrite(bool is_in_transaction) : client(fixture) {
+    fixture.start(client);
+    if (is_in_transaction)
+      fixture.say(client, "BEGIN");
+    fixture.has_lease = false;
+    fixture.give_alone(client, encode_query("last", "WRITE a 1"));
+    client.session->end_input(ended_at);
+  }
+  std::size_t commits() {
+    return fixture.databases["leader"].log.size();
+  }
+
+  const TimePoint ended_at = Clock::now();
+  DatabaseSessionFixture fixture;
+  DatabaseSessionFixture::Client client;
+};
+
+}  // namespace
+
 // Guards against a statement that is dropped, since its client ended its sending while it waited
 // for a database or was the first of its transaction.
 Test(session, after_the_end_of_input_a_statement_that_waits_is_begun_within_the_bound) {
   for (const bool is_in_transaction : {false, true}) {
-    DatabaseSessionFixture stage;
-    DatabaseSessionFixture::Client client(stage);
-    stage.start(client);
-    if (is_in_transaction)
-      stage.say(client, "BEGIN");
-    stage.has_lease = false;
-    stage.give_alone(client, encode_query("last", "WRITE a 1"));
-    const TimePoint now = Clock::now();
-    client.session->end_input(now);
-    cr_expect(client.session->is_busy() && client.due <= now + max_work_after_input_end);
-    stage.has_lease = true;
-    client.session->proceed(now + 1ms);
-    stage.pump();
-    cr_expect(client.verdict().empty() &&
-              client.last().field(0) == (is_in_transaction ? "T" : "I"));
-    cr_expect(stage.databases["leader"].log.size() == (is_in_transaction ? 0 : 1));
+    WaitingWrite waiting(is_in_transaction);
+    Session& session = *waiting.client.session;
+    cr_expect(session.is_busy() &&
+              waiting.client.due <= waiting.ended_at + max_work_after_input_end);
+    waiting.fixture.has_lease = true;
+    session.proceed(waiting.ended_at + 1ms);
+    waiting.fixture.pump();
+    cr_expect(waiting.client.verdict().empty() &&
+              waiting.client.last().field(0) == (is_in_transaction ? "T" : "I"));
+    cr_expect(waiting.commits() == (is_in_transaction ? 0 : 1));
   }
 }
 
 Test(session, after_the_end_of_input_a_statement_without_a_database_is_refused_in_time) {
   for (const bool is_in_transaction : {false, true}) {
-    DatabaseSessionFixture stage;
-    DatabaseSessionFixture::Client client(stage);
-    stage.start(client);
-    if (is_in_transaction)
-      stage.say(client, "BEGIN");
-    stage.has_lease = false;
-    stage.give_alone(client, encode_query("last", "WRITE a 1"));
-    const TimePoint now = Clock::now();
-    client.session->end_input(now);
-    client.session->on_due(now + max_work_after_input_end);
-    cr_expect(client.verdict() == (is_in_transaction ? "UNDONE" : "BUSY"));
-    cr_expect(stage.databases["leader"].log.empty(), "as promised");
+    WaitingWrite waiting(is_in_transaction);
+    waiting.client.session->on_due(waiting.ended_at + max_work_after_input_end);
+    cr_expect(waiting.client.verdict() == (is_in_transaction ? "UNDONE" : "BUSY"));
+    cr_expect(waiting.commits() == 0, "as promised");
   }
 }
 
