--- a/tools/soak/database_checker.py
+++ b/tools/soak/database_checker.py
@@ -1,4 +1,5 @@
 """Judges the history of a run of databases; knows nothing of how it came about."""
+from collections import Counter
 from collections.abc import Iterator
 
 from soak.answered_checker import Unanswered, find_unanswered
@@ -84,8 +85,11 @@
             if statement.database == database and since <= statement.sent_at <= until]
     served = sum(not statement.code for statement in sent)
     if len(sent) < MIN_CALM_STATEMENTS or served < MIN_CALM_SERVED_SHARE * len(sent):
+        codes = Counter(statement.code for statement in sent if statement.code)
+        ended = sum(statement.has_ended_sending for statement in sent if statement.code)
         yield Violation("RECOVER", f"{served} of {len(sent)} statements for {database} were served "
-                                   f"in the calm time")
+                                   f"in the calm time; others: {dict(codes)}, {ended} of them "
+                                   "with their client's sending ended")
 
 
 def check_all(history: DatabaseHistory, kept: dict[str, frozenset[str]]) -> list[Violation]:
