Brokers: a request itself says until when a client that ended its input is worked for

on_gone added up the same bound from the exchange; the request knows it. Behaviour is the same: both take the moment from the exchange.

--- a/src/broker/broker_loop.cpp
+++ b/src/broker/broker_loop.cpp
@@ -183,10 +183,7 @@
   if (const auto context = contexts_.find(proxied_request); context != contexts_.end())
     record_failure(*context->second, "client left", 0, Clock::now());
   const TimePoint now = Clock::now();
-  TimePoint until = now + abandoned_wait;
-  if (exchange.has_input_ended())
-    until = std::min(until, exchange.input_ended_at() + max_work_after_input_end);
-  abandon(*proxied_request, until, now);
+  abandon(*proxied_request, std::min(now + abandoned_wait, proxied_request->work_until()), now);
 }
 
 void BrokerLoop::on_input_end(ServerExchange& exchange, TimePoint now) {
