Nodes tell which build they run, which frames they dropped, and their metrics at a port of choice

Callers could not see which version a machine ran: every build called itself 0.1.0. Frames that a build does not know were logged for one in a hundred, or not at all.

--- a/src/broker/broker_loop.cpp
+++ b/src/broker/broker_loop.cpp
@@ -34,6 +34,7 @@
               settings.memory_bytes / 4),
       readiness_(*this),
       ready_server_(poller_, timers_, readiness_, 64, 1 << 20),
+      metrics_server_(poller_, timers_, [this] { return metrics_page(); }),
       views_(64, [this] { poller_.wake(); }),
       picker_({settings.zone, settings.region}, incarnation.value),
       draw_(static_cast<std::uint32_t>(incarnation.value)),
@@ -46,7 +47,8 @@
       classes_(settings.heavy_times) {
 }
 
-Error BrokerLoop::open() {
+Error BrokerLoop::open(int metrics_port) {
+  metrics_server_.open(settings_.ip_address, metrics_port);
   if (Error found = ready_server_.open(settings_.ready_check))
     return found;
   return server_.open(settings_.front);
@@ -79,6 +81,7 @@
     timers_.run(now);
     server_.reap();
     ready_server_.reap();
+    metrics_server_.reap();
     closed_connections_.clear();
     ended_contexts_.clear();
     if (!should_leave_)
--- a/src/broker/broker_loop.h
+++ b/src/broker/broker_loop.h
@@ -16,6 +16,7 @@
 #include "coordination/routing/delegated_gather.h"
 #include "coordination/routing/fair_queue.h"
 #include "coordination/routing/proxied_request.h"
+#include "process/metrics_server.h"
 #include "protocol/gather_messages.h"
 #include "state/invariants.h"
 #include "transport/http_client_connection.h"
@@ -108,7 +109,8 @@
                          public DelegatedGatherWork::Callbacks {
  public:
   BrokerLoop(const NodeSettings& settings, IncarnationId incarnation);
-  Error open();
+  // `metrics_port`: see MetricsServer::open.
+  Error open(int metrics_port = 0);
   void start();
   void show(ViewSnapshot view) {
     views_.replace(std::move(view));
@@ -220,6 +222,7 @@
   void keep_warm(const BackendPointer& backend);
   void check_leaving(TimePoint now);
   void show_gauges() const;
+  std::string metrics_page() const;
   void check_tables() const;
   // Notes a request that was refused before it began.
   void record_refusal(ServerExchange& exchange, const Route* route, ErrorCode kind, TimePoint now);
@@ -264,6 +267,7 @@
   HttpServer server_;
   Readiness readiness_;
   HttpServer ready_server_;
+  MetricsServer metrics_server_;
   BoundedQueue<ViewSnapshot> views_;
   ViewSnapshot view_ = std::make_shared<View>();  // invariant: never null; other brokers may ask
                                                   // before the first one
--- a/src/broker/broker_program.cpp
+++ b/src/broker/broker_program.cpp
@@ -6,13 +6,14 @@
 #include "broker/broker_loop.h"
 #include "commands/commands.h"
 #include "process/signals.h"
+#include "state/build_info.h"
 
 namespace saddlewing {
 
-int run_broker(const std::string& startup_path) {
-  Signals signals(startup_path);
+int run_broker(const ServeOptions& options) {
+  Signals signals(options.settings_path);
   NodeSettings settings;
-  if (Error found = read_node_settings(startup_path, false, settings)) {
+  if (Error found = read_node_settings(options.settings_path, false, settings)) {
     LOG(ERROR) << "startup: " << found.text();
     return 1;
   }
@@ -27,7 +28,7 @@
     follower.set_edge_listener([&loop](EdgeUpdate news) { loop.turn_edges(std::move(news)); });
   loop.set_follower(follower);
   loop.set_sender([&follower](DelegationMessage out) { return follower.send(std::move(out)); });
-  for (const Error& found : {follower.open(), loop.open()})
+  for (const Error& found : {follower.open(), loop.open(options.metrics_port)})
     if (found) {
       LOG(ERROR) << "startup: " << found.text();
       return 1;
@@ -35,8 +36,8 @@
   loop.read_alerts(settings.alert_rules);
   follower.start();
   loop.start();
-  LOG(INFO) << "broker: started as " << settings.node_name;
-  signals.serve(startup_path, false, [&](const NodeSettings& changed) {
+  LOG(INFO) << "broker: started as " << settings.node_name << ", version " << build_description();
+  signals.serve(options.settings_path, false, [&](const NodeSettings& changed) {
     follower.set_seeds(changed.contacts);
     loop.read_alerts(changed.alert_rules);
   });
--- a/src/broker/broker_status.cpp
+++ b/src/broker/broker_status.cpp
@@ -101,14 +101,15 @@
     loop.timers_.set(*this, now + 1s);
 }
 
+std::string BrokerLoop::metrics_page() const {
+  show_gauges();
+  return metrics().page() + violations_page() + failures_.metrics_page();
+}
+
 void BrokerLoop::Readiness::on_request(ServerExchange& exchange, TimePoint now) {
   const std::string& target = exchange.request().getURI();
-  if (target == row_of(HttpCall::metrics).path) {
-    loop_.show_gauges();
-    return exchange.answer({200, "OK", "Content-Type: text/plain; version=0.0.4\r\n",
-                            metrics().page() + violations_page() + loop_.failures_.metrics_page()},
-                           now);
-  }
+  if (target == row_of(HttpCall::metrics).path)
+    return exchange.answer(MetricsServer::reply(loop_.metrics_page()), now);
   if (target == row_of(HttpCall::failures).path)
     return exchange.answer({200, "OK", "Content-Type: text/plain\r\n", loop_.failures_.page()},
                            now);
--- a/src/commands/commands.h
+++ b/src/commands/commands.h
@@ -10,9 +10,15 @@
 int run_edges(const std::vector<std::string>& contacts, bool is_json, int wait_ms);
 int run_ring(const std::vector<std::string>& words, const std::vector<std::string>& contacts,
              bool is_json, int wait_ms);
-int run_pooler(const std::string& startup_path);
-int run_broker(const std::string& startup_path);
-int run_registry(const std::string& startup_path);
+/** What the command line tells a process that serves. */
+struct ServeOptions {
+  std::string settings_path;
+  /** Port on the machine's address where metrics are served as well. Default: 0, none. */
+  int metrics_port = 0;
+};
+int run_pooler(const ServeOptions& options);
+int run_broker(const ServeOptions& options);
+int run_registry(const ServeOptions& options);
 // Contacts are inner addresses.
 int run_trace(std::int64_t version, const std::vector<std::string>& contacts, bool is_json,
               int wait_ms);
--- a/src/control_client/control_plane_client.h
+++ b/src/control_client/control_plane_client.h
@@ -143,6 +143,8 @@
   void handle_endpoints(RegistryLink& link, const FrameHead& head, const EndpointList& endpoints,
                         TimePoint now);
   void handle_server_frames(TimePoint now);
+  bool handle_server_frame(std::string routing_id, const FrameHead& head, ByteReader& reader,
+                           TimePoint now);
   void send_trace(const std::string& routing_id, TimePoint now);
 
   void activate_version(TimePoint now);
--- a/src/control_client/control_plane_frames.cpp
+++ b/src/control_client/control_plane_frames.cpp
@@ -10,6 +10,7 @@
 #include "protocol/frame.h"
 #include "protocol/trace_messages.h"
 #include "state/compression.h"
+#include "state/metrics.h"
 
 namespace saddlewing {
 namespace {
@@ -22,12 +23,15 @@
 void ControlPlaneClient::handle_frame(const ReceivedFrame& frame, TimePoint now) {
   ByteReader reader(frame.bytes);
   FrameHead head;
-  if (!decode_head(reader, head))
+  if (!decode_head(reader, head)) {
+    metrics().add(Metric::dropped_frames);
     return;
+  }
   const auto found = links_.find(head.from);
   if (found == links_.end())
     return;
   if (!decode_and_handle(head, reader, found->second, now)) {
+    metrics().add(Metric::dropped_frames);
     LOG_EVERY_N(WARNING, 100) << "follow: frame dropped, foreign or damaged, from " << head.from;
   }
 }
@@ -152,14 +156,25 @@
       return;
     ByteReader reader(frame->bytes);
     FrameHead head;
-    if (!decode_head(reader, head))
-      continue;
-    if (head.kind == FrameKind::gather_request)
-      delegations_.handle_request(std::move(frame->routing_id), reader);
-    else if (head.kind == FrameKind::gather_cancel)
-      delegations_.handle_cancel(std::move(frame->routing_id), reader);
-    else if (head.kind == FrameKind::trace_request)
-      send_trace(frame->routing_id, now);
+    if (!decode_head(reader, head) ||
+        !handle_server_frame(std::move(frame->routing_id), head, reader, now))
+      metrics().add(Metric::dropped_frames);
+  }
+}
+
+// False: the frame is of no kind that is sent to a broker, or does not decode.
+bool ControlPlaneClient::handle_server_frame(std::string routing_id, const FrameHead& head,
+                                             ByteReader& reader, TimePoint now) {
+  switch (head.kind) {
+    case FrameKind::gather_request:
+      return delegations_.handle_request(std::move(routing_id), reader);
+    case FrameKind::gather_cancel:
+      return delegations_.handle_cancel(std::move(routing_id), reader);
+    case FrameKind::trace_request:
+      send_trace(routing_id, now);
+      return true;
+    default:
+      return false;
   }
 }
 
--- a/src/control_client/delegation_relay.cpp
+++ b/src/control_client/delegation_relay.cpp
@@ -1,6 +1,7 @@
 #include "control_client/delegation_relay.h"
 #include "protocol/control_messages.h"
 #include "protocol/frame.h"
+#include "state/metrics.h"
 
 #include <algorithm>
 #include <utility>
@@ -47,6 +48,8 @@
     if (decode_head(reader, head) && head.kind == FrameKind::gather_result &&
         decode(reader, event.result))
       notify_(std::move(event));
+    else
+      metrics().add(Metric::dropped_frames);
   }
 }
 
@@ -57,16 +60,20 @@
     receive_results(*client);
 }
 
-void DelegationRelay::handle_request(std::string routing_id, ByteReader& reader) {
+bool DelegationRelay::handle_request(std::string routing_id, ByteReader& reader) {
   DelegationRequested event{std::move(routing_id), {}};
-  if (decode(reader, event.request))
-    notify_(std::move(event));
+  if (!decode(reader, event.request))
+    return false;
+  notify_(std::move(event));
+  return true;
 }
 
-void DelegationRelay::handle_cancel(std::string routing_id, ByteReader& reader) {
+bool DelegationRelay::handle_cancel(std::string routing_id, ByteReader& reader) {
   DelegationCancelled event{std::move(routing_id), {}};
-  if (decode(reader, event.cancel))
-    notify_(std::move(event));
+  if (!decode(reader, event.cancel))
+    return false;
+  notify_(std::move(event));
+  return true;
 }
 
 void DelegationRelay::retain(const std::vector<BrokerEndpoint>& brokers) {
--- a/src/control_client/delegation_relay.h
+++ b/src/control_client/delegation_relay.h
@@ -34,12 +34,12 @@
   void relay();
 
   // Handles a request of another broker, that arrived at the server.
-  // `reader`: behind the frame's head.
-  void handle_request(std::string routing_id, ByteReader& reader);
+  // `reader`: behind the frame's head. False: it does not decode.
+  bool handle_request(std::string routing_id, ByteReader& reader);
 
   // Handles the cancel of a request that came over this connection.
-  // `reader`: behind the frame's head.
-  void handle_cancel(std::string routing_id, ByteReader& reader);
+  // `reader`: behind the frame's head. False: it does not decode.
+  bool handle_cancel(std::string routing_id, ByteReader& reader);
 
   // Closes the connections to all other brokers than these.
   void retain(const std::vector<BrokerEndpoint>& brokers);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,10 +6,13 @@
 #include <iostream>
 
 #include "commands/commands.h"
+#include "state/build_info.h"
 #include "state/node_settings.h"
 
 namespace {
 
+constexpr int max_port = 65535;
+
 int usage(const cxxopts::Options& options, const std::string& complaint) {
   std::cerr << "saddlewing: " << complaint << "\n" << options.help();
   return 2;
@@ -118,6 +121,8 @@
                                      cxxopts::value<std::string>())(
       "contact", "tracer, ring, edges, core: inner address of a node; may be given more than once",
       cxxopts::value<std::vector<std::string>>())("json", "tracer, ring, edges, core: print JSON")(
+      "metrics-port", "broker, pooler, registry: port for metrics, beside their other addresses",
+      cxxopts::value<int>()->default_value("0"))(
       "wait-ms", "tracer, ring, edges, core: how long to wait for answers",
       cxxopts::value<int>()->default_value("2000"))(
       "command", "broker, pooler, registry, tracer, ring, edges, core or check",
@@ -136,7 +141,7 @@
     return 0;
   }
   if (read.count("version")) {
-    std::cout << "saddlewing " << SADDLEWING_VERSION << "\n";
+    std::cout << "saddlewing " << saddlewing::build_description() << "\n";
     return 0;
   }
   if (!read.count("command"))
@@ -164,9 +169,12 @@
   const std::string path = settings_path(read);
   if (path.empty())
     return usage(options, "no settings file: give --settings or set SADDLEWING_NODE_FILE");
+  const saddlewing::ServeOptions serve{path, read["metrics-port"].as<int>()};
+  if (serve.metrics_port < 0 || serve.metrics_port > max_port)
+    return usage(options, "metrics-port is out of range");
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(words[0]);
   if (command == "pooler")
-    return saddlewing::run_pooler(path);
-  return command == "broker" ? saddlewing::run_broker(path) : saddlewing::run_registry(path);
+    return saddlewing::run_pooler(serve);
+  return command == "broker" ? saddlewing::run_broker(serve) : saddlewing::run_registry(serve);
 }
--- a/src/pooler/pooler_loop.cpp
+++ b/src/pooler/pooler_loop.cpp
@@ -67,6 +67,7 @@
     : settings_(std::move(settings)),
       readiness_(*this),
       ready_server_(poller_, timers_, readiness_, 64, 1 << 20),
+      metrics_server_(poller_, timers_, [] { return metrics().page() + violations_page(); }),
       client_listener_(*this),
       tick_(*this),
       views_(64, [this] { poller_.wake(); }),
@@ -103,7 +104,8 @@
              }}) {
 }
 
-Error PoolerLoop::open() {
+Error PoolerLoop::open(int metrics_port) {
+  metrics_server_.open(settings_.ip_address, metrics_port);
   if (Error found = ready_server_.open(settings_.ready_check))
     return found;
   if (Error found = client_listener_.listener.open(settings_.front))
@@ -151,6 +153,7 @@
       handle_leadership_lease(std::move(news), now);
     timers_.run(now);
     ready_server_.reap();
+    metrics_server_.reap();
     for (auto& closed : closed_clients_)
       by_session_.erase(&closed->session);
     closed_clients_.clear();
@@ -266,9 +269,7 @@
 void PoolerLoop::Readiness::on_request(ServerExchange& exchange, TimePoint now) {
   const std::string& target = exchange.request().getURI();
   if (target == row_of(HttpCall::metrics).path)
-    return exchange.answer({200, "OK", "Content-Type: text/plain; version=0.0.4\r\n",
-                            metrics().page() + violations_page()},
-                           now);
+    return exchange.answer(MetricsServer::reply(metrics().page() + violations_page()), now);
   if (target.substr(0, target.find('?')) != row_of(HttpCall::readiness).path)
     return exchange.answer(reply_of(ErrorCode::no_route), now);
   if (loop_.is_ready())
--- a/src/pooler/pooler_loop.h
+++ b/src/pooler/pooler_loop.h
@@ -11,6 +11,7 @@
 #include "control_client/control_plane_client.h"
 #include "coordination/databases/database_session.h"
 #include "coordination/databases/log_position_samples.h"
+#include "process/metrics_server.h"
 #include "protocol/database_protocol.h"
 #include "transport/database_transport.h"
 #include "transport/http_server.h"
@@ -20,7 +21,8 @@
 class PoolerLoop final : public SessionContext {
  public:
   explicit PoolerLoop(NodeSettings settings);
-  Error open();
+  // `metrics_port`: see MetricsServer::open.
+  Error open(int metrics_port = 0);
   void start() {
     thread_ = std::thread([this] { run(); });
   }
@@ -139,6 +141,7 @@
   TimerQueue timers_;
   Readiness readiness_;
   HttpServer ready_server_;
+  MetricsServer metrics_server_;
   ClientListener client_listener_;
   Tick tick_;
   ControlPlaneClient* control_client_ = nullptr;
--- a/src/pooler/pooler_program.cpp
+++ b/src/pooler/pooler_program.cpp
@@ -6,13 +6,14 @@
 #include "commands/commands.h"
 #include "pooler/pooler_loop.h"
 #include "process/signals.h"
+#include "state/build_info.h"
 
 namespace saddlewing {
 
-int run_pooler(const std::string& startup_path) {
-  Signals signals(startup_path);
+int run_pooler(const ServeOptions& options) {
+  Signals signals(options.settings_path);
   NodeSettings settings;
-  if (Error found = read_node_settings(startup_path, false, settings)) {
+  if (Error found = read_node_settings(options.settings_path, false, settings)) {
     LOG(ERROR) << "startup: " << found.text();
     return 1;
   }
@@ -26,15 +27,15 @@
       [&pooling](LeadershipUpdate news) { pooling.lease(std::move(news)); },
       [&pooling](SampleUpdate news) { pooling.sample(std::move(news)); });
   pooling.set_follower(follower);
-  for (const Error& found : {follower.open(), pooling.open()})
+  for (const Error& found : {follower.open(), pooling.open(options.metrics_port)})
     if (found) {
       LOG(ERROR) << "startup: " << found.text();
       return 1;
     }
   follower.start();
   pooling.start();
-  LOG(INFO) << "pooler: started as " << settings.node_name;
-  signals.serve(startup_path, false,
+  LOG(INFO) << "pooler: started as " << settings.node_name << ", version " << build_description();
+  signals.serve(options.settings_path, false,
                 [&](const NodeSettings& changed) { follower.set_seeds(changed.contacts); });
   follower.set_leaving();
   pooling.leave();
--- a/src/registry/control_loop.cpp
+++ b/src/registry/control_loop.cpp
@@ -221,6 +221,7 @@
                                     handle_client_frame(frame.routing_id, head, reader, now)))
     return;
   ++foreign_frames_;
+  metrics().add(Metric::dropped_frames);
   if (now - foreign_logged_ < foreign_log_interval)
     return;
   foreign_logged_ = now;
--- a/src/registry/operator_api.cpp
+++ b/src/registry/operator_api.cpp
@@ -38,17 +38,24 @@
   return reply;
 }
 
+std::string metrics_page() {
+  return metrics().page() + violations_page() + sent_bytes().page();
+}
+
 }  // namespace
 
 OperatorApi::OperatorApi(const NodeSettings& settings, BoundedQueue<ControlEvent>& events)
     : address_(settings.control),
+      host_(settings.ip_address),
       events_(events),
       server_(poller_, timers_, *this, 256, settings.memory_bytes / 8),
+      metrics_server_(poller_, timers_, metrics_page),
       replies_(1024, [this] { poller_.wake(); }) {
   server_.set_limits({32768, max_document(settings), Duration(5000), Duration(15000)});
 }
 
-Error OperatorApi::open() {
+Error OperatorApi::open(int metrics_port) {
+  metrics_server_.open(host_, metrics_port);
   return server_.open(address_);
 }
 void OperatorApi::start() {
@@ -69,6 +76,7 @@
     handle_replies(now);
     timers_.run(now);
     server_.reap();
+    metrics_server_.reap();
   }
   handle_replies(Clock::now());
 }
@@ -97,9 +105,7 @@
   const auto& request = exchange.request();
   const std::string& target = request.getURI();
   if (target == row_of(HttpCall::metrics).path)
-    return exchange.answer({200, "OK", "Content-Type: text/plain; version=0.0.4\r\n",
-                            metrics().page() + violations_page() + sent_bytes().page()},
-                           now);
+    return exchange.answer(MetricsServer::reply(metrics_page()), now);
   if (target.starts_with(row_of(HttpCall::heartbeat).path))
     return handle_backend_call(exchange, now);
   metrics().add(Metric::operator_calls);
--- a/src/registry/operator_api.h
+++ b/src/registry/operator_api.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <thread>
 
+#include "process/metrics_server.h"
 #include "registry/events.h"
 #include "state/node_settings.h"
 #include "transport/http_server.h"
@@ -13,7 +14,8 @@
 class OperatorApi final : public HttpServer::Handler {
  public:
   OperatorApi(const NodeSettings& settings, BoundedQueue<ControlEvent>& events);
-  Error open();
+  // `metrics_port`: see MetricsServer::open.
+  Error open(int metrics_port = 0);
   void start();
   void stop();
   void post_reply(OperatorReply result) {
@@ -40,10 +42,12 @@
   void finish(std::uint64_t token, Reply reply, TimePoint now);
 
   Address address_;
+  std::string host_;
   BoundedQueue<ControlEvent>& events_;
   Poller poller_;
   TimerQueue timers_;
   HttpServer server_;
+  MetricsServer metrics_server_;
   BoundedQueue<OperatorReply> replies_;
   std::map<std::uint64_t, Open> open_;
   std::uint64_t last_token_ = 0;
--- a/src/registry/registry_program.cpp
+++ b/src/registry/registry_program.cpp
@@ -9,6 +9,7 @@
 #include "process/signals.h"
 #include "registry/cluster_bootstrap.h"
 #include "registry/control_loop.h"
+#include "state/build_info.h"
 
 namespace saddlewing {
 namespace {
@@ -21,9 +22,9 @@
 
 }  // namespace
 
-int run_registry(const std::string& startup_path) {
-  Signals signals(startup_path);
-  std::optional<NodeSettings> read = signals.await_node_settings(startup_path, true);
+int run_registry(const ServeOptions& options) {
+  Signals signals(options.settings_path);
+  std::optional<NodeSettings> read = signals.await_node_settings(options.settings_path, true);
   if (!read) {
     LOG(INFO) << "registry: ended";
     return 0;
@@ -42,7 +43,7 @@
     LOG(INFO) << "registry: ended";
     return 0;
   }
-  if (NodeSettings changed; has_waited && !read_node_settings(startup_path, true, changed))
+  if (NodeSettings changed; has_waited && !read_node_settings(options.settings_path, true, changed))
     settings = std::move(changed);
   auto core =
       std::make_unique<ControlLoop>(settings, std::move(*persistent), IncarnationId{draw_number()});
@@ -50,7 +51,7 @@
   BackendMonitor monitor(settings, core->events());
   StorageThread storage(store, core->events());
   CommandDispatcher dispatcher(settings, core->events());
-  for (const Error& found : {core->open(), operator_api.open()})
+  for (const Error& found : {core->open(), operator_api.open(options.metrics_port)})
     if (found) {
       LOG(ERROR) << "startup: " << found.text();
       return 1;
@@ -60,8 +61,8 @@
   monitor.start();
   dispatcher.start();
   core->start(operator_api, monitor, storage, dispatcher);
-  LOG(INFO) << "registry: started as " << settings.node_name;
-  signals.serve(startup_path, true,
+  LOG(INFO) << "registry: started as " << settings.node_name << ", version " << build_description();
+  signals.serve(options.settings_path, true,
                 [&](const NodeSettings& changed) { core->set_contacts(changed.contacts); });
   core->leave();
   core->join();
--- a/src/state/metrics.cpp
+++ b/src/state/metrics.cpp
@@ -2,6 +2,8 @@
 
 #include <iterator>
 
+#include "state/build_info.h"
+
 namespace saddlewing {
 namespace {
 
@@ -75,6 +77,8 @@
      "Clients that ended their sending while something of theirs was under way."},
     {Metric::client_breaks, "saddlewing_client_breaks_total", MetricKind::counter,
      "Connections of clients that broke while something of theirs was under way."},
+    {Metric::dropped_frames, "saddlewing_frames_dropped_total", MetricKind::counter,
+     "Frames of other nodes that this build does not know, or that were damaged."},
     {Metric::edges_revision, "saddlewing_edges_view", MetricKind::gauge,
      "Changes of the view of edges in this leader's term, as in force here."},
     {Metric::configuration_version, "saddlewing_edition", MetricKind::gauge,
@@ -105,7 +109,7 @@
 }
 
 std::string Metrics::page() const {
-  std::string page;
+  std::string page = build_metric();
   for (const MetricRow& row : rows)
     page += render(row, get(row.metric));
   return page;
--- a/src/state/metrics.h
+++ b/src/state/metrics.h
@@ -84,6 +84,8 @@
   client_input_ends,
   /** Connections of clients that broke while something of theirs was under way. */
   client_breaks,
+  /** Frames of other nodes that this build does not know, or that were damaged. */
+  dropped_frames,
   /** Version of the configuration in force here. */
   configuration_version,
   /** Revision of the view of edges in force here, in this leader's term. */
