--- a/tools/checks/lint.sh
+++ b/tools/checks/lint.sh
@@ -19,6 +19,7 @@
 check glossary tools/checks/check_glossary.py
 check pages tools/checks/check_pages.py
 check promises tools/checks/check_promises.py
+check deploy tools/checks/check_deploy.py
 if ((${#failed[@]})); then
   echo "lint: failed: ${failed[*]}"
   exit 1
