Soak: planned work is judged once every request has ended

It ran as soon as all brokers were ready again, which as a rule is later than the last such request ends. Now the window is kept and judged after the clients have stopped, when each attempt has an end: what was in flight is judged too, not left out. A node that does not end well is reported with its exit code and time.

--- a/tests/soak/checker_test.py
+++ b/tests/soak/checker_test.py
@@ -144,7 +144,8 @@
     def test_planned_work(self):
         """A request lost beside a SIGTERM."""
         self.history.attempts[0].status = 0
-        found = list(checker.check_planned_work(self.history, START - 1, START + 6, "broker-1", 6))
+        planned = checker.PlannedWork(START - 1, START + 6, "broker-1", 6)
+        found = list(checker.check_planned_work(self.history, planned))
         self.assertEqual([violation.rule for violation in found], ["LOST"])
 
     def test_older_read(self):
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -151,22 +151,35 @@
             yield Violation("LOST", text)
 
 
-def check_planned_work(history: History, planned_from: float, planned_until: float,
-                       leaving: str, grace_s: float) -> Iterator[Violation]:
-    """LOST: beside planned work in a calm time no request that was read loses its answer."""
+@dataclass(frozen=True)
+class PlannedWork:
+    """A broker's leaving in a calm time, beside other planned work, and how long that counts."""
+
+    began_at: float
+    until: float
+    leaving: str
+    grace_s: float
+
+
+def check_planned_work(history: History, planned: PlannedWork) -> Iterator[Violation]:
+    """LOST: beside planned work in a calm time no request that was read loses its answer.
+
+    For a history whose attempts have all ended.
+    """
     for attempt in history.attempts:
         if attempt.status or attempt.left_at or not attempt.is_read_whole:
             continue
-        if not planned_from <= attempt.sent_at <= planned_until:
+        if not planned.began_at <= attempt.sent_at <= planned.until:
             continue
         is_late = attempt.ended_at - attempt.sent_at >= GIVE_UP_MS / 1000
         # Of the machine that leaves, what it took within 3 s and is at work in the last sixth.
-        is_excused = attempt.broker == leaving and (
-            attempt.ended_at >= planned_from + grace_s * 5 / 6)
+        is_excused = attempt.broker == planned.leaving and (
+            attempt.ended_at >= planned.began_at + planned.grace_s * 5 / 6)
         was_passed_on = any(run.try_id == attempt.request.try_id for run in history.runs)
         if not is_late and not is_excused and was_passed_on:
+            seconds = attempt.ended_at - planned.began_at
             yield Violation("LOST", f"{attempt.request.try_id} at {attempt.broker} got no answer "
-                                    f"{attempt.ended_at - planned_from:.2f} s after the SIGTERM")
+                                    f"{seconds:.2f} s after the SIGTERM")
 
 
 def _version_of(body: bytes) -> int | None:
--- a/tools/soak/scenario.py
+++ b/tools/soak/scenario.py
@@ -10,7 +10,7 @@
 from mixed_versions.ledger import Ledger
 from soak import checker
 from soak.backends import Fleet
-from soak.checker import Violation
+from soak.checker import PlannedWork, Violation
 from soak.clients import Clients
 from soak.cluster import SoakCluster, SoakNode, opened
 from soak.history import History, now
@@ -66,12 +66,15 @@
         self._player = Player(self._cluster, self._fleet, self._operators, self.history,
                               schedule.seed)
         self._observer = NodeObserver(self._cluster, self.history)
+        self._planned_work_done: PlannedWork | None = None
         self._violations: list[Violation] = []
 
     async def run(self) -> Result:
         """Runs to the end and judges."""
         async with opened(self._fleet, self._cluster):
             await self._play()
+        if self._planned_work_done is not None:
+            self._violations += checker.check_planned_work(self.history, self._planned_work_done)
         self._violations += checker.check_all(self.history, self._ledger, self._clients.once_ids)
         return Result(self._schedule, self.history, self._violations)
 
@@ -138,13 +141,15 @@
         draining = asyncio.create_task(self._fleet.trouble("drain", _DRAINED_IN_CALM, 0))
         grace_s = self._schedule.grace_s
         if not await self._cluster.end(leaving, grace_s):
-            self.history.problems.append(f"{leaving.spec.name} did not end well within its grace")
+            self.history.problems.append(
+                f"{leaving.spec.name} did not end well within its grace, exit code "
+                f"{leaving.exit_code()} {now() - began_at:.2f} s after the SIGTERM")
         until = now()
         self._cluster.start(leaving)
         await draining
         await self._wait_ready("ready after the planned work", _HEAL_S)
-        self._violations += checker.check_planned_work(
-            self.history, began_at, until + _PLANNED_EXTRA_S, leaving.spec.name, grace_s)
+        self._planned_work_done = PlannedWork(began_at, until + _PLANNED_EXTRA_S,
+                                              leaving.spec.name, grace_s)
 
     async def _observe(self) -> None:
         """Notes metrics and explanations now and then."""
