--- a/tests/soak/slow_disks.py
+++ b/tests/soak/slow_disks.py
@@ -12,9 +12,10 @@
 
 from mixed_versions.addresses import Network
 from mixed_versions.builds import Build
-from soak.cluster import SoakCluster, SoakNode
+from soak.cluster import Builds, SoakCluster, SoakNode
 from soak.history import History, now
 from soak.operators import Operators
+from soak.replacements import NEW
 from soak.troubles import Schedule
 
 ANSWER_S = 8.0  # the deployments' answer_ms
@@ -38,7 +39,7 @@
     network = Network(0)
     history = History()
     schedule = Schedule(seed=1, registries=REGISTRIES, brokers=BROKERS, troubles=())
-    cluster = SoakCluster(network, folder, Build("soak", program), faults, schedule, history,
+    cluster = SoakCluster(network, folder, Builds(Build(NEW, program)), faults, schedule, history,
                           network.host(PLATFORM_HOST))
     operators = Operators(history, schedule.seed,
                           {node.spec.name: node.spec.host for node in cluster.registries})
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -12,7 +12,9 @@
 
 from mixed_versions.builds import Build
 from soak.backends import BACKEND_COUNT
+from soak.cluster import Builds
 from soak.database_scenario import DATABASE_COUNT, DatabaseScenario
+from soak.replacements import NEW, OLD
 from soak.scenario import Result, Scenario
 from soak.shrink import shrink
 from soak.troubles import DATABASE_DRAWING, Schedule, draw_schedule, read_schedule
@@ -29,6 +31,8 @@
     parser = argparse.ArgumentParser(
         prog="soak.sh", description="Runs clusters under overlapping troubles and judges them.")
     parser.add_argument("--program", type=Path, required=True, help="the build under test")
+    parser.add_argument("--old-program", type=Path,
+                        help="another build: every node begins with it and is replaced")
     parser.add_argument("--faults", type=Path, required=True,
                         help="the library of tests/soak/network_faults.cpp")
     parser.add_argument("--seeds", type=_parse_seeds, default=range(1, 2), metavar="A..B")
@@ -45,8 +49,8 @@
                         help="of a node at the end; a build with sanitizers needs more")
     parser.add_argument("--report", type=Path, help="folder for schedules and logs of findings")
     options = parser.parse_args()
-    for path in (options.program, options.faults):
-        if not path.is_file():
+    for path in (options.program, options.faults, options.old_program):
+        if path is not None and not path.is_file():
             parser.error(f"{path} is no file")
     return options
 
@@ -77,6 +81,17 @@
     return " ".join(span.kind for span in history.spans)
 
 
+def _builds_line(result: Result) -> str:
+    """Which builds ran, if there were two."""
+    if not result.schedule.replacements:
+        return ""
+    last = {life.node: life.build for life in result.history.lives}
+    started = collections.Counter(life.build for life in result.history.lives)
+    return (f"{len(result.schedule.replacements)} replaced, {started[OLD]} old and "
+            f"{started[NEW]} new processes, {list(last.values()).count(NEW)} of {len(last)} new "
+            f"at the end; ")
+
+
 def _print(result: Result, seconds: float) -> None:
     history = result.history
     statuses = collections.Counter(attempt.status for attempt in history.attempts)
@@ -84,7 +99,8 @@
           f"({statuses[200]} served, {statuses[503]} refused, {statuses[502]} and "
           f"{statuses[504]} failed, {statuses[0]} without an answer), {len(history.runs)} runs, "
           f"{sum(bool(put.acknowledged_at) for put in history.puts)} orders, "
-          f"{len(history.reads)} reads; {_kinds_line(history)}; {_times_line(history)}; "
+          f"{len(history.reads)} reads; {_builds_line(result)}{_kinds_line(history)}; "
+          f"{_times_line(history)}; "
           f"explained: {_reasons_line(history)}; {seconds:.0f} s",
           flush=True)
     _print_violations(result)
@@ -107,26 +123,30 @@
     sync = int(any(promotion.is_synchronous for promotion in history.promotions))
     print(f"{_outcome(result)}; {len(history.statements)} statements "
           f"({', '.join(f'{count} {code}' for code, count in codes.most_common())}), sync {sync}, "
-          f"{len(history.promotions)} promotions; {_kinds_line(history)}; {seconds:.0f} s",
+          f"{len(history.promotions)} promotions; {_builds_line(result)}{_kinds_line(history)}; "
+          f"{seconds:.0f} s",
           flush=True)
     _print_violations(result)
 
 
 def _draw(seed: int, options: argparse.Namespace) -> Schedule:
     if options.databases:
-        return draw_schedule(seed, DATABASE_COUNT, options.groups, DATABASE_DRAWING)
-    return draw_schedule(seed, BACKEND_COUNT, options.groups)
+        schedule = draw_schedule(seed, DATABASE_COUNT, options.groups, DATABASE_DRAWING)
+    else:
+        schedule = draw_schedule(seed, BACKEND_COUNT, options.groups)
+    return schedule.with_replacements() if options.old_program else schedule
 
 
 def _run(schedule: Schedule, options: argparse.Namespace) -> Result:
     began = time.monotonic()
-    build = Build("soak", options.program.resolve())
+    old = Build(OLD, options.old_program.resolve()) if options.old_program else None
+    builds = Builds(Build(NEW, options.program.resolve()), old)
     faults = options.faults.resolve()
     with tempfile.TemporaryDirectory(prefix="soak.") as folder:
         if options.databases:
-            scenario = DatabaseScenario(schedule, build, faults, Path(folder))
+            scenario = DatabaseScenario(schedule, builds, faults, Path(folder))
         else:
-            scenario = Scenario(schedule, build, faults, Path(folder), options.max_resident_mb)
+            scenario = Scenario(schedule, builds, faults, Path(folder), options.max_resident_mb)
         result = asyncio.run(asyncio.wait_for(scenario.run(), _RUN_LIMIT_S))
         (_print_databases if options.databases else _print)(result, time.monotonic() - began)
         if result.violations and options.report:
@@ -167,6 +187,8 @@
                        "--max-resident-mb", str(options.max_resident_mb)]
             if options.databases:
                 command.append("--databases")
+            if options.old_program:
+                command += ["--old-program", str(options.old_program)]
             if options.report:
                 command += ["--report", str(options.report)]
             running[subprocess.Popen(command, env=os.environ)] = seed
--- a/tools/soak/cluster.py
+++ b/tools/soak/cluster.py
@@ -14,6 +14,7 @@
 from mixed_versions.node import ClusterSettings, Node, NodeKind, NodeSpec
 from soak.backends import HEARTBEAT_S, ZONES
 from soak.history import History, Life, now
+from soak.replacements import NEW, OLD
 
 REGIONS = {"zone-east": "region-east", "zone-west": "region-west"}
 CATCH_UP_S = 4
@@ -57,6 +58,21 @@
         return "\n".join(lines) + "\n"
 
 
+@dataclass(frozen=True)
+class Builds:
+    """The build under test, and the one that it replaces in a run of two."""
+
+    new: Build
+    old: Build | None = None
+
+    def of(self, label: str) -> Build:
+        """The build with this label; raises ValueError if the run has none."""
+        build = self.old if label == OLD else self.new
+        if build is None:
+            raise ValueError("a schedule with replacements needs an old program")
+        return build
+
+
 class SoakNode(Node):
     """A node whose process runs under rules."""
 
@@ -159,10 +175,10 @@
     `traffic_kind`: of the nodes that carry traffic; they are the cluster's brokers all the same.
     """
 
-    def __init__(self, network: Network, folder: Path, build: Build, faults: Path, schedule,
+    def __init__(self, network: Network, folder: Path, builds: Builds, faults: Path, schedule,
                  history: History, platform_host: str,
                  traffic_kind: NodeKind = NodeKind.BROKER):
-        self._build = build
+        self._builds = builds
         self._history = history
         registry_hosts = tuple(network.host(1 + at) for at in range(schedule.registries))
         settings = ClusterSettings(registry_hosts, f"{platform_host}:21184", REGIONS)
@@ -184,6 +200,8 @@
         for node in self.nodes:
             node.rules.ended_flags = _ENDED_FLAGS[schedule.seed % len(_ENDED_FLAGS)]
         self._hole = Hole(network.host(30))
+        first_build = builds.of(OLD if schedule.replacements else NEW)
+        self._build_of = {node.spec.name: first_build for node in self.nodes}
         self._lives: dict[str, Life] = {}
         self._watcher: asyncio.Task | None = None
 
@@ -211,11 +229,16 @@
         """Starts a process of this node."""
         if node.is_running():
             return
-        node.start(self._build, is_first_run)
-        life = Life(node.spec.name, now())
+        build = self._build_of[node.spec.name]
+        node.start(build, is_first_run)
+        life = Life(node.spec.name, now(), build=build.label)
         self._lives[node.spec.name] = life
         self._history.lives.append(life)
 
+    def set_build(self, node: SoakNode, label: str) -> None:
+        """The node's next processes are of this build."""
+        self._build_of[node.spec.name] = self._builds.of(label)
+
     def kill(self, node: SoakNode) -> None:
         """Ends the node's process at once."""
         self.life(node).is_end_wanted = True
--- a/tools/soak/database_scenario.py
+++ b/tools/soak/database_scenario.py
@@ -5,10 +5,9 @@
 from pathlib import Path
 
 from mixed_versions.addresses import CONTROL_PORT, PLATFORM_PORT, Network
-from mixed_versions.builds import Build
 from mixed_versions.node import NodeKind
 from soak import database_checker as checker
-from soak.cluster import REGIONS, SoakCluster, opened
+from soak.cluster import REGIONS, Builds, SoakCluster, opened
 from soak.database_clients import DatabaseClients
 from soak.database_history import DatabaseHistory
 from soak.databases import DatabaseGroup
@@ -142,13 +141,13 @@
 class DatabaseScenario:
     """Runs one schedule."""
 
-    def __init__(self, schedule: Schedule, build: Build, faults: Path, folder: Path):
+    def __init__(self, schedule: Schedule, builds: Builds, faults: Path, folder: Path):
         network = Network(0)
         self._schedule = schedule
         self.history = DatabaseHistory()
         hosts = tuple(network.host(1 + at) for at in range(schedule.registries))
         self._fleet = DatabaseFleet(network, self.history, schedule.seed, hosts)
-        self._cluster = SoakCluster(network, folder, build, faults, schedule, self.history,
+        self._cluster = SoakCluster(network, folder, builds, faults, schedule, self.history,
                                     self._fleet.platform_host, NodeKind.POOLER)
         self._operators = DatabaseOperators(self._fleet, list(hosts))
         self._clients = DatabaseClients(self.history, schedule.seed,
--- a/tools/soak/history.py
+++ b/tools/soak/history.py
@@ -87,6 +87,7 @@
     ended_at: float = 0.0  # 0: runs
     exit_code: int | None = None
     is_end_wanted: bool = False
+    build: str = ""
 
 
 @dataclass
--- a/tools/soak/player.py
+++ b/tools/soak/player.py
@@ -10,6 +10,7 @@
 from soak.troubles import Schedule, Trouble
 
 _RESTART_S = 0.4
+_END_LIMIT_S = 7.0
 
 
 class Player:
@@ -26,7 +27,24 @@
     async def play(self, schedule: Schedule) -> None:
         """Returns when the last trouble is over."""
         began_at = now()
-        await asyncio.gather(*(self._play_at(trouble, began_at) for trouble in schedule.troubles))
+        await asyncio.gather(self._replace_all(schedule, began_at),
+                             *(self._play_at(trouble, began_at) for trouble in schedule.troubles))
+
+    async def _replace_all(self, schedule: Schedule, began_at: float) -> None:
+        """Replaces processes by another build, one after the other."""
+        for replacement in schedule.replacements:
+            await asyncio.sleep(max(0.0, began_at + replacement.at - now()))
+            node = self._cluster.nodes[replacement.target]
+            span = Span("replace", (node.spec.name,), now())
+            self._history.spans.append(span)
+            self._cluster.set_build(node, replacement.build)
+            if replacement.is_killed:
+                self._cluster.kill(node)
+            else:
+                await self._cluster.end(node, limit_s=_END_LIMIT_S)
+            await asyncio.sleep(_RESTART_S)
+            self._cluster.start(node)
+            span.ended_at = now()
 
     async def _play_at(self, trouble: Trouble, began_at: float) -> None:
         await asyncio.sleep(max(0.0, began_at + trouble.at - now()))
@@ -89,7 +107,7 @@
         node.send_signal(signal.SIGCONT)
 
     async def _term(self, node: SoakNode, _trouble: Trouble) -> None:
-        await self._cluster.end(node, limit_s=7.0)
+        await self._cluster.end(node, limit_s=_END_LIMIT_S)
         await asyncio.sleep(_RESTART_S)
         self._cluster.start(node)
 
--- a/tools/soak/scenario.py
+++ b/tools/soak/scenario.py
@@ -5,14 +5,13 @@
 from pathlib import Path
 
 from mixed_versions.addresses import READY_PORT, Network
-from mixed_versions.builds import Build
 from mixed_versions.core_view import ask_core
 from mixed_versions.ledger import Ledger
 from soak import checker
 from soak.backends import Fleet
 from soak.checker import PlannedWork, Violation
 from soak.clients import Clients
-from soak.cluster import SoakCluster, SoakNode, opened
+from soak.cluster import Builds, SoakCluster, SoakNode, opened
 from soak.history import History, now
 from soak.http_streams import call, make_request_bytes
 from soak.observer import OBSERVE_EVERY_S, NodeObserver
@@ -45,18 +44,18 @@
     `max_resident_mb`: what a node may hold at the end.
     """
 
-    def __init__(self, schedule: Schedule, build: Build, faults: Path, folder: Path,
+    def __init__(self, schedule: Schedule, builds: Builds, faults: Path, folder: Path,
                  max_resident_mb: int = 256):
         network = Network(0)
         self._max_resident_bytes = max_resident_mb << 20
         self._schedule = schedule
-        self._build = build
+        self._build = builds.new
         self.history = History()
         self._ledger = Ledger()
         registry_hosts = tuple(network.host(1 + at) for at in range(schedule.registries))
         self._fleet = Fleet(network, self.history, self._ledger, schedule.seed, registry_hosts,
                             schedule.is_self_registered)
-        self._cluster = SoakCluster(network, folder, build, faults, schedule, self.history,
+        self._cluster = SoakCluster(network, folder, builds, faults, schedule, self.history,
                                     self._fleet.platform_host)
         self._operators = Operators(self.history, schedule.seed,
                                     {node.spec.name: node.spec.host
--- a/tools/soak/troubles.py
+++ b/tools/soak/troubles.py
@@ -5,7 +5,9 @@
 """
 import json
 import random
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
+
+from soak.replacements import Replacement, draw_replacements
 
 FORMAT = 1
 
@@ -64,6 +66,7 @@
     troubles: tuple[Trouble, ...]
     grace_s: int = 6
     is_self_registered: bool = False
+    replacements: tuple[Replacement, ...] = ()  # by another build; none: all nodes run the same
 
     def to_json(self) -> str:
         """The schedule as a file's text."""
@@ -73,8 +76,13 @@
         """The same without the troubles of these numbers."""
         kept = tuple(trouble for number, trouble in enumerate(self.troubles)
                      if number not in dropped)
-        return Schedule(self.seed, self.registries, self.brokers, kept, self.grace_s,
-                        self.is_self_registered)
+        return replace(self, troubles=kept)
+
+    def with_replacements(self) -> "Schedule":
+        """The same with every node's process replaced, as the seed draws it."""
+        has_wipe = any(trouble.kind == "wipe" for trouble in self.troubles)
+        drawn = draw_replacements(self.seed, self.registries, self.brokers, has_wipe)
+        return replace(self, replacements=drawn)
 
 
 def read_schedule(text: str) -> Schedule:
@@ -83,7 +91,8 @@
     if document.pop("format", None) != FORMAT:
         raise ValueError("a schedule of another format")
     troubles = tuple(Trouble(**trouble) for trouble in document.pop("troubles"))
-    return Schedule(troubles=troubles, **document)
+    replacements = tuple(Replacement(**one) for one in document.pop("replacements", ()))
+    return Schedule(troubles=troubles, replacements=replacements, **document)
 
 
 def _draw_trouble(source: random.Random, at: float, registries: int, brokers: int,
