--- a/src/pooler/pooler_program.cpp
+++ b/src/pooler/pooler_program.cpp
@@ -1,6 +1,7 @@
 // saddlewing pooler
 #include <glog/logging.h>
 
+#include <optional>
 #include <random>
 
 #include "commands/commands.h"
@@ -12,11 +13,13 @@
 
 int run_pooler(const ServeOptions& options) {
   Signals signals(options.settings_path);
-  NodeSettings settings;
-  if (Error found = read_node_settings(options.settings_path, false, settings)) {
-    LOG(ERROR) << "startup: " << found.text();
-    return 1;
+  const std::optional<NodeSettings> read =
+      signals.await_node_settings(options.settings_path, false);
+  if (!read) {
+    LOG(INFO) << "pooler: ended";
+    return 0;
   }
+  const NodeSettings& settings = *read;
   std::random_device device;
   const IncarnationId incarnation{(static_cast<std::uint64_t>(device()) << 32) | device() | 1u};
   PoolerLoop pooling(settings);
--- a/tests/deployment/roles_test.py
+++ b/tests/deployment/roles_test.py
@@ -21,7 +21,7 @@
 from mixed_versions.addresses import CONTROL_PORT, FRONT_PORT, READY_PORT, SPARE_PORTS, Network
 
 ROOT = Path(__file__).resolve().parents[2]
-PROGRAM = Path(os.environ.get("SADDLEWING_PROGRAM", ROOT / "target" / "saddlewing"))
+PROGRAM = Path(os.environ.get("SADDLEWING_PROGRAM", ROOT / "target" / "saddlewing")).resolve()
 MACHINES = 3
 GRACE_S = 4
 ANSWER_S = 10.0
@@ -181,8 +181,7 @@
         for machine_class in classes:
             for at in range(MACHINES):
                 name = f"{machine_class}-{at + 1}"
-                folder = self.folder / project / name
-                folder.mkdir(parents=True)
+                folder = Path(tempfile.mkdtemp(prefix=f"{name}.", dir=self.folder))
                 machine = Machine(project, name, machine_class,
                                   network.host(host_numbers[machine_class] + at), contacts, folder)
                 self.processes += [Process(role, machine) for role in roles
@@ -236,7 +235,6 @@
                 finally:
                     process.kill()
                     self.processes = []
-                    self.folder = self.folder / "next"
 
 
 if __name__ == "__main__":
