--- a/tools/days.py
+++ b/tools/days.py
@@ -15,6 +15,8 @@
     changes  hundreds of changes with members away, wiped, on slow, stalled and full disks
     answer   answers spoilt, late, twice, lost; connections reset, processes frozen; addresses
              given to others
+    upgrade  the system's own programs replaced, beside lost leaders, disks in trouble, changes in
+             quick succession, machines added, frozen and replaced, and losses in its middle
 
 Load, marks, strengths and spans are the site's: what this script knows of a site is what the file
 says. With --bench, kinds that the bench does not list for the site are left out, and named. --play
@@ -249,12 +251,46 @@
     )
 
 
+def upgrade_days(site):
+    """Of sites with a version in production; the bench may list the kind for those alone."""
+    core = {"on": "core", "count": 1}
+    slow = site.entry(0.06, "upgrade", gap_s=2.0, x=4.0)
+    quick = site.entry(0.06, "upgrade", gap_s=0.8, x=8.0)
+    storm = site.entry(0.1, "config_storm", for_s=round(site.length * 0.4, 1), gap_s=0.4)
+    yield slow, (
+        site.entry(0.12, "node_kill", **core, for_s=site.back, how="leader race")
+        + site.entry(0.35, "node_kill", **core, for_s=site.back, how="leader meet")
+        + site.entry(0.6, "after_ack_wipe", for_s=1.0)
+    )
+    yield slow + storm, (
+        site.entry(0.1, "disk_full", count=1, for_s=site.back)
+        + site.entry(0.3, "disk_stall", count=1, for_s=site.in_touch, how="leader")
+        + site.entry(0.55, "disk_slow", count=1, for_s=site.back)
+    )
+    yield quick + storm, site.entry(0.15, "replace_core", x=1.0) + site.entry(
+        0.5, "replace_core", x=2.0, how="planned"
+    )
+    yield quick + site.entry(0.2, "add_nodes") + site.entry(
+        0.1, "config_race", count=6, gap_s=1.5
+    ), site.entry(0.12, "node_freeze", for_s=site.in_touch / 2) + site.entry(
+        0.3, "node_freeze", **core, for_s=site.in_touch, how="leader race"
+    )
+    yield slow + site.entry(0.1, "config_change", how="route"), (
+        site.entry(0.12, "herd_kill", on="core", share=1.0, for_s=1.0, how="taken")
+        + site.entry(0.5, "herd_kill", on="core", share=1.0, for_s=1.0, how="power")
+    )
+    yield slow + site.entry(0.3, "hup", gap_s=1.0), site.entry(
+        0.12, "core_cut", count=1, for_s=site.in_touch, how="leader race"
+    ) + site.entry(0.5, "core_cut", for_s=site.in_touch, how="split")
+
+
 POINTS = {
     "cut": cut_days,
     "order": order_days,
     "loss": loss_days,
     "changes": changes_days,
     "answer": answer_days,
+    "upgrade": upgrade_days,
 }
 
 
