--- a/tools/soak/database_scenario.py
+++ b/tools/soak/database_scenario.py
@@ -9,8 +9,8 @@
 from soak import database_checker as checker
 from soak.cluster import REGIONS, Builds, SoakCluster, opened
 from soak.database_clients import DatabaseClients
+from soak.database_group import DatabaseGroup
 from soak.database_history import DatabaseHistory
-from soak.databases import DatabaseGroup
 from soak.history import now
 from soak.http_streams import call, make_answer_bytes, make_request_bytes, read_message
 from soak.observer import NodeObserver
