Poolers end their sessions before what those wait in is gone

Callers saw: nothing yet; the kernel's log showed three poolers of that ended by SIGSEGV behind their SIGTERM in the soak's first runs with two builds. Cause: at the end of its grace a pooler destroys the sessions still open, and a session that is destroyed leaves the set of waiting ones, which is declared later and was gone by then.

~PoolerLoop ends the sessions while everything they use exists, the waiting ones first.

The soak passed over it, since any end within the grace was a good one: a crash at an end that was asked for is a Fault now, and a planted one is found.

--- a/src/pooler/pooler_loop.cpp
+++ b/src/pooler/pooler_loop.cpp
@@ -104,6 +104,10 @@
              }}) {
 }
 
+PoolerLoop::~PoolerLoop() {
+  end_sessions(Clock::now());
+}
+
 Error PoolerLoop::open(int metrics_port) {
   metrics_server_.open(settings_.ip_address, metrics_port);
   if (Error found = ready_server_.open(settings_.ready_check))
@@ -139,6 +143,15 @@
   clients_.erase(found);
 }
 
+// Sessions let go of what they wait for and use while that still exists. Those that wait go first,
+// so that no connection is handed on to one of them.
+void PoolerLoop::end_sessions(TimePoint now) {
+  for (const bool is_seeking : {true, false})
+    for (const auto& [client, kept] : clients_)
+      if ((client->session.state() == Session::State::seeking) == is_seeking)
+        client->session.handle_client_left(now);
+}
+
 void PoolerLoop::run() {
   tick(Clock::now());
   for (;;) {
--- a/src/pooler/pooler_loop.h
+++ b/src/pooler/pooler_loop.h
@@ -21,6 +21,8 @@
 class PoolerLoop final : public SessionContext {
  public:
   explicit PoolerLoop(NodeSettings settings);
+  // Behind the end of its thread.
+  ~PoolerLoop() override;
   // `metrics_port`: see MetricsServer::open.
   Error open(int metrics_port = 0);
   void start() {
@@ -130,6 +132,7 @@
   void report(TimePoint now);
   void check_leaving(TimePoint now);
   void defer_delete(Client& client);
+  void end_sessions(TimePoint now);
   bool is_ready() const {
     return view_->is_ready && leaderships_->revision > 0 && !is_leaving_;
   }
--- a/tests/soak/checker_test.py
+++ b/tests/soak/checker_test.py
@@ -220,6 +220,14 @@
         self.history.lives.append(Life("registry-1", START, START + 1, -11))
         self.assertEqual(self.rules(), {"Fault"})
 
+    def test_crash_at_the_end(self):
+        """A process that was asked to end and crashed."""
+        self.history.lives.append(Life("registry-1", START, START + 1, 0, True))
+        self.history.lives.append(Life("registry-1", START, START + 1, -9, True))
+        self.assertEqual(self.rules(), set())
+        self.history.lives.append(Life("registry-1", START, START + 1, -11, True))
+        self.assertEqual(self.rules(), {"Fault"})
+
     def test_invariant(self):
         """A violation that a node counted."""
         name = 'saddlewing_invariant_violations_total{invariant="one_leader_per_term"}'
--- a/tools/soak/checker.py
+++ b/tools/soak/checker.py
@@ -5,6 +5,7 @@
 for IN_TOUCH_S before and meanwhile.
 """
 import json
+import signal
 from collections import defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -17,6 +18,8 @@
 from soak.history import Attempt, History, Run
 
 IN_TOUCH_S = 5.0
+# Exit codes of a process that was asked to end, also before it listened to signals, or was killed.
+WELL_ENDED = (None, 0, -signal.SIGKILL, -signal.SIGTERM)
 TAKE_EFFECT_S = 3.0
 ANSWER_S = 6.0
 GONE_S = 0.5
@@ -305,10 +308,13 @@
 
 
 def check_own_ends(history: History) -> Iterator[Violation]:
-    """Fault: no process ends by itself."""
+    """Fault: no process ends by itself, and none that was asked to end does so by a crash."""
     for life in history.lives:
         if life.ended_at and not life.is_end_wanted:
             yield Violation("Fault", f"{life.node} ended by itself with {life.exit_code}")
+        elif life.ended_at and life.exit_code not in WELL_ENDED:
+            yield Violation("Fault", f"{life.node} crashed at its end with {life.exit_code}, "
+                                     f"{life.build} build")
 
 
 def check_invariants(history: History) -> Iterator[Violation]:
