--- a/tools/mixed_versions/node.py
+++ b/tools/mixed_versions/node.py
@@ -13,7 +13,7 @@
 GRACE_S = 4
 TAKE_EFFECT_MS = 3000
 
-_LOG_TAIL_BYTES = 1500
+_LOG_TAIL_BYTES = 20_000
 _CORE_RETURN_S = 4
 
 
