--- a/src/process/metrics_server.cpp
+++ b/src/process/metrics_server.cpp
@@ -10,12 +10,12 @@
 namespace {
 
 constexpr std::size_t max_connections = 16;
-constexpr std::size_t max_held_bytes = 1 << 20;
+constexpr std::size_t max_buffered_bytes = 1 << 20;
 
 }  // namespace
 
 MetricsServer::MetricsServer(Poller& poller, TimerQueue& timers, std::function<std::string()> page)
-    : page_(std::move(page)), server_(poller, timers, *this, max_connections, max_held_bytes) {
+    : page_(std::move(page)), server_(poller, timers, *this, max_connections, max_buffered_bytes) {
 }
 
 void MetricsServer::open(const std::string& host, int port) {
