--- a/tests/deployment/roles_test.py
+++ b/tests/deployment/roles_test.py
@@ -13,7 +13,7 @@
 import tempfile
 import time
 import unittest
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 from deployment.deploy_file import Role, read_deploy_file
@@ -52,7 +52,7 @@
     contacts: list[str]
     folder: Path
 
-    def fields(self, role: Role, is_first_run: bool = True) -> dict:
+    def fields(self, role: Role) -> dict:
         """What a process of this role is told."""
         listens_on = {}
         if "front" in role.serves:
@@ -69,7 +69,7 @@
             "handles": list(role.serves), "ip_address": self.host, "zone": "zone-east",
             "region": "region-east", "zones": {"zone-east": "region-east"},
             "listens_on": listens_on, "spare_ports": list(SPARE_PORTS),
-            "first_contacts": self.contacts, "first_run": is_first_run, "loss_counts": has_disk,
+            "first_contacts": self.contacts, "first_run": True, "loss_counts": has_disk,
             "limits": {"cpu_part": 0.25, "cores": 1, "memory_mb": 260, "file_handles": 1000,
                        "link_mbps": 100.0, "disk_mb": 64 if has_disk else 0},
             "data_folder": str(folder) if folder else None, "way_in": "shared_address",
@@ -95,15 +95,14 @@
 
     role: Role
     machine: Machine
-    popen: subprocess.Popen | None = field(default=None)
+    popen: subprocess.Popen | None = None
 
     @property
     def settings_path(self) -> Path:
         return self.machine.folder / f"{self.role.name}.settings"
 
-    def write_settings(self, is_first_run: bool = True) -> str:
-        text = render((ROOT / self.role.template).read_text(),
-                      self.machine.fields(self.role, is_first_run))
+    def write_settings(self) -> str:
+        text = render((ROOT / self.role.template).read_text(), self.machine.fields(self.role))
         self.settings_path.write_text(text)
         return text
 
