--- a/src/pooler/pooler_loop.cpp
+++ b/src/pooler/pooler_loop.cpp
@@ -22,6 +22,10 @@
 constexpr Duration min_report{200};
 constexpr std::size_t max_waiting = 2048;
 
+std::string metrics_page() {
+  return metrics().page() + violations_page();
+}
+
 }  // namespace
 
 PoolerLoop::Client::Client(PoolerLoop& loop, TcpConnection channel)
@@ -67,7 +71,7 @@
     : settings_(std::move(settings)),
       readiness_(*this),
       ready_server_(poller_, timers_, readiness_, 64, 1 << 20),
-      metrics_server_(poller_, timers_, [] { return metrics().page() + violations_page(); }),
+      metrics_server_(poller_, timers_, metrics_page),
       client_listener_(*this),
       tick_(*this),
       views_(64, [this] { poller_.wake(); }),
@@ -282,7 +286,7 @@
 void PoolerLoop::Readiness::on_request(ServerExchange& exchange, TimePoint now) {
   const std::string& target = exchange.request().getURI();
   if (target == row_of(HttpCall::metrics).path)
-    return exchange.answer(MetricsServer::reply(metrics().page() + violations_page()), now);
+    return exchange.answer(MetricsServer::reply(metrics_page()), now);
   if (target.substr(0, target.find('?')) != row_of(HttpCall::readiness).path)
     return exchange.answer(reply_of(ErrorCode::no_route), now);
   if (loop_.is_ready())
