Registry: dropped frames are counted once

The metric that came with this work counted what a member of the control loop counted beside it. The log line takes the metric. saddlewing_tests passes (415).

--- a/src/registry/control_loop.cpp
+++ b/src/registry/control_loop.cpp
@@ -220,12 +220,12 @@
   if (decode_head(reader, head) && (handle_peer_frame(head, reader, now) ||
                                     handle_client_frame(frame.routing_id, head, reader, now)))
     return;
-  ++foreign_frames_;
   metrics().add(Metric::dropped_frames);
   if (now - foreign_logged_ < foreign_log_interval)
     return;
   foreign_logged_ = now;
-  LOG(WARNING) << "agree: frame dropped, foreign or damaged; " << foreign_frames_ << " so far";
+  LOG(WARNING) << "agree: frame dropped, foreign or damaged; "
+               << metrics().get(Metric::dropped_frames) << " so far";
 }
 
 // Frames of other registries. False if it is none of them, or damaged.
--- a/src/registry/control_loop.h
+++ b/src/registry/control_loop.h
@@ -185,7 +185,6 @@
   bool was_leader_ = false;     // at the last round
   TimePoint foreign_logged_{};
   TimePoint sent_logged_{};
-  std::uint64_t foreign_frames_ = 0;  // dropped, foreign or damaged
   std::thread thread_;
 };
 
